--- /dev/null
+++ b/packages/medlarpass-cli/src/medlarpass_cli/__init__.py
@@ -0,0 +1,3 @@
+"""Command line for operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/exceptions.py
@@ -0,0 +1,26 @@
+"""Base class of all errors; each subpackage derives its own in its ``exceptions`` module."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from medlarpass.outcome import Outcome
+
+
+class MedlarpassError(Exception):
+    """An error with a stable code.
+
+    :param message: text for people; callers decide by ``code``
+
+    :cvar code: stable identifier, listed in ``docs/errors.md``
+    :cvar http_status: status of the answer when the error reaches an HTTP interface
+    :cvar outcome: what the error says about the execution of the request
+    """
+
+    code: ClassVar[str] = "internal_error"
+    http_status: ClassVar[int] = 500
+    outcome: ClassVar[Outcome] = Outcome.UNKNOWN
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message)
+        self.message = message
