Add the tables, the order ledger, the control state and the settings

Cause: routes, pools, order claims and settings had no home. Change: ConfigurationTable with compare on the expected version, change ids and audit; OrderLedger with claims that no time takes over; a state machine that applies both; settings with units, checked before anything starts. Conclusion: the daemon can be built on these interfaces.

--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/control.py
@@ -0,0 +1,39 @@
+"""Settings of the role control."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from medlarpass import Value
+from medlarpass_daemon.settings.listener import ListenerSettings
+from medlarpass_daemon.settings.member import MemberSettings
+
+
+class ControlSettings(Value):
+    """Settings of the role control; durations in seconds.
+
+    :param document: validated section ``control``
+    """
+
+    __slots__ = (
+        "data_folder",
+        "election_timeout",
+        "heartbeat",
+        "join",
+        "operators",
+        "replicas",
+        "snapshot_records",
+    )
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self.operators = ListenerSettings(document["operators"])
+        self.data_folder = Path(document["data_folder"])
+        #: Replicas of a new cluster, or the known ones when joining.
+        self.replicas = [MemberSettings(replica) for replica in document["replicas"]]
+        #: Join a running cluster as a learner instead of starting a new one.
+        self.join: bool = document["join"]
+        self.heartbeat: float = document["heartbeat"]
+        #: Least election timeout; the greatest is twice as long.
+        self.election_timeout: float = document["election_timeout"]
+        self.snapshot_records: int = document["snapshot_records"]
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/entry.py
@@ -0,0 +1,51 @@
+"""Settings of the role entry."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from medlarpass import Value
+from medlarpass_daemon.settings.listener import ListenerSettings
+from medlarpass_daemon.settings.member import MemberSettings
+
+
+class EntrySettings(Value):
+    """Settings of the role entry; durations in seconds, sizes in bytes.
+
+    :param document: validated section ``entry``
+    """
+
+    __slots__ = (
+        "buffer",
+        "callers",
+        "concurrency",
+        "connections_per_server",
+        "control",
+        "coordinator_term",
+        "heartbeat_wait",
+        "order_body",
+        "peers",
+        "server_staleness",
+        "servers",
+        "session_term",
+        "sync_interval",
+    )
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self.callers = ListenerSettings(document["callers"])
+        self.servers = ListenerSettings(document["servers"])
+        #: All entries of all failure domains, this one included.
+        self.peers = [MemberSettings(peer) for peer in document["peers"]]
+        self.control: list[str] = document["control"]
+        self.concurrency: int = document["concurrency"]
+        self.connections_per_server: int = document["connections_per_server"]
+        #: Bytes read ahead for each direction of a streamed body.
+        self.buffer: int = document["buffer"]
+        #: Greatest body of an order, which is held in memory.
+        self.order_body: int = document["order_body"]
+        self.coordinator_term: float = document["coordinator_term"]
+        self.session_term: float = document["session_term"]
+        self.heartbeat_wait: float = document["heartbeat_wait"]
+        #: Age of a server's last word after which it gets no more work.
+        self.server_staleness: float = document["server_staleness"]
+        self.sync_interval: float = document["sync_interval"]
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/listener.py
@@ -0,0 +1,25 @@
+"""An address that a process listens on."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from medlarpass import Value
+
+
+class ListenerSettings(Value):
+    """IP number and TCP port of a listener.
+
+    :param document: validated section with ``ip`` and ``port``
+    """
+
+    __slots__ = ("ip", "port")
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self.ip: str = document["ip"]
+        self.port: int = document["port"]
+
+    def endpoint(self) -> str:
+        """Return ``IP:PORT``, with brackets around an IPv6 number."""
+        host = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"{host}:{self.port}"
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/loader.py
@@ -0,0 +1,80 @@
+"""Reads and checks a settings file."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import voluptuous as vol
+import yaml
+
+from medlarpass_daemon.settings.daemon import DaemonSettings
+from medlarpass_daemon.settings.exceptions import SettingsError
+from medlarpass_daemon.settings.schema import SETTINGS_SCHEMA
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def load_settings(path: Path) -> DaemonSettings:
+    """Read and check a settings file.
+
+    :param path: YAML file
+    :raises SettingsError: naming the file, the key and what was expected
+    """
+    document = _validated(path, _parsed(path))
+    _check_sections(path, document)
+    settings = DaemonSettings(document)
+    _check_consistency(path, settings)
+    return settings
+
+
+def _parsed(path: Path) -> Any:
+    try:
+        return yaml.safe_load(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(path), "", f"expected a readable file ({error})") from error
+    except yaml.YAMLError as error:
+        raise SettingsError(str(path), "", f"expected YAML ({error})") from error
+
+
+def _validated(path: Path, document: Any) -> dict[str, Any]:
+    if not isinstance(document, dict):
+        raise SettingsError(str(path), "", "expected a mapping")
+    try:
+        result: dict[str, Any] = SETTINGS_SCHEMA(document)
+    except vol.MultipleInvalid as error:
+        first = error.errors[0]
+        key = ".".join(str(part) for part in first.path)
+        raise SettingsError(str(path), key, str(first.msg)) from error
+    return result
+
+
+def _check_sections(path: Path, document: dict[str, Any]) -> None:
+    for role in ("entry", "control"):
+        if (role in document["roles"]) != (role in document):
+            raise SettingsError(
+                str(path), role, f"expected the section exactly when roles contains {role}"
+            )
+    if "control" in document["roles"] and "operators" not in document["security"]:
+        raise SettingsError(str(path), "security.operators", "expected for the role control")
+
+
+def _check_consistency(path: Path, settings: DaemonSettings) -> None:
+    entry = settings.entry
+    if entry is None:
+        return
+    names = [peer.name for peer in entry.peers]
+    if len(set(names)) != len(names):
+        raise SettingsError(str(path), "entry.peers", "expected each name once")
+    own = [peer for peer in entry.peers if peer.name == settings.name]
+    if not own or own[0].domain != settings.domain:
+        raise SettingsError(str(path), "entry.peers", "expected this entry with its failure domain")
+    if entry.heartbeat_wait * 2 > entry.session_term:
+        raise SettingsError(
+            str(path), "entry.session_term", "expected at least twice entry.heartbeat_wait"
+        )
+    if entry.coordinator_term > entry.session_term:
+        raise SettingsError(
+            str(path), "entry.coordinator_term", "expected at most entry.session_term"
+        )
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -0,0 +1,135 @@
+"""Schema of the settings file."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+
+from typing import Any
+
+import voluptuous as vol
+
+from medlarpass_daemon.settings.units import duration
+from medlarpass_daemon.settings.units import size
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+MAX_PORT = 65_535
+
+
+def name(value: Any) -> str:
+    """Check the name of a VM, domain or replica."""
+    if not isinstance(value, str) or not NAME_PATTERN.fullmatch(value):
+        raise vol.Invalid("expected a name of lower-case letters, digits, . _ -")
+    return value
+
+
+def ip(value: Any) -> str:
+    """Check an IP number; host names are refused because processes talk by IP numbers."""
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError as error:
+        raise vol.Invalid("expected an IP number") from error
+
+
+def port(value: Any) -> int:
+    """Check a TCP port."""
+    if isinstance(value, bool) or not isinstance(value, int) or not 1 <= value <= MAX_PORT:
+        raise vol.Invalid(f"expected a port from 1 to {MAX_PORT}")
+    return value
+
+
+def endpoint(value: Any) -> str:
+    """Check an address of the form ``IP:PORT`` or ``[IPv6]:PORT``."""
+    host, separator, number = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not separator or not number.isdigit():
+        raise vol.Invalid("expected IP:PORT")
+    port(int(number))
+    ip(host.strip("[]"))
+    return str(value)
+
+
+def text(value: Any) -> str:
+    """Check a non-empty text."""
+    if not isinstance(value, str) or not value:
+        raise vol.Invalid("expected a non-empty text")
+    return value
+
+
+def listed(item: Any) -> Any:
+    """Return a validator for a non-empty list."""
+    return vol.All([item], vol.Length(min=1, msg="expected at least one item"))
+
+
+LISTENER = {vol.Required("ip"): ip, vol.Required("port"): port}
+
+MEMBER = {
+    vol.Required("name"): name,
+    vol.Required("domain"): name,
+    vol.Required("address"): endpoint,
+}
+
+BETWEEN_PROCESSES = vol.Any(
+    {vol.Required("mode"): "unauthenticated"},
+    {
+        vol.Required("mode"): "mutual_tls",
+        vol.Required("ca"): text,
+        vol.Required("certificate"): text,
+        vol.Required("key"): text,
+    },
+    msg="expected mode unauthenticated, or mode mutual_tls with ca, certificate and key",
+)
+
+OPERATORS = vol.Any(
+    {vol.Required("mode"): "unauthenticated"},
+    {vol.Required("mode"): "token_file", vol.Required("file"): text},
+    msg="expected mode unauthenticated, or mode token_file with file",
+)
+
+ENTRY = {
+    vol.Required("callers"): LISTENER,
+    vol.Required("servers"): LISTENER,
+    vol.Required("peers"): listed(MEMBER),
+    vol.Required("control"): listed(endpoint),
+    vol.Optional("concurrency", default=1024): vol.All(int, vol.Range(min=1, max=100_000)),
+    vol.Optional("connections_per_server", default=16): vol.All(int, vol.Range(min=1, max=10_000)),
+    vol.Optional("buffer", default="64KiB"): size("4KiB", "4MiB"),
+    vol.Optional("order_body", default="1MiB"): size("1KiB", "16MiB"),
+    vol.Optional("coordinator_term", default="400ms"): duration("100ms", "10s"),
+    vol.Optional("session_term", default="600ms"): duration("200ms", "60s"),
+    vol.Optional("heartbeat_wait", default="150ms"): duration("10ms", "10s"),
+    vol.Optional("server_staleness", default="3s"): duration("500ms", "60s"),
+    vol.Optional("sync_interval", default="100ms"): duration("10ms", "5s"),
+}
+
+CONTROL = {
+    vol.Required("operators"): LISTENER,
+    vol.Required("data_folder"): text,
+    vol.Required("replicas"): listed(MEMBER),
+    vol.Optional("join", default=False): bool,
+    vol.Optional("heartbeat", default="100ms"): duration("10ms", "5s"),
+    vol.Optional("election_timeout", default="500ms"): duration("50ms", "30s"),
+    vol.Optional("snapshot_records", default=10_000): vol.All(int, vol.Range(min=10)),
+}
+
+SETTINGS_SCHEMA = vol.Schema(
+    {
+        vol.Required("name"): name,
+        vol.Required("domain"): name,
+        vol.Required("roles"): vol.All(listed(vol.In(["entry", "control"])), vol.Unique()),
+        vol.Required("rpc"): LISTENER,
+        vol.Required("platform"): LISTENER,
+        vol.Required("security"): {
+            vol.Required("between_processes"): BETWEEN_PROCESSES,
+            vol.Optional("operators"): OPERATORS,
+        },
+        vol.Optional("entry"): ENTRY,
+        vol.Optional("control"): CONTROL,
+        vol.Optional("stop", default=dict): {
+            vol.Optional("balancer_wait", default="0s"): duration("0s", "10min"),
+            vol.Optional("finish_within", default="4h"): duration("0s", "240h"),
+        },
+        vol.Optional("log", default=dict): {
+            vol.Optional("file", default="-"): text,
+        },
+    }
+)
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/control/control_state.py
@@ -0,0 +1,117 @@
+"""State machine of the control log."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from medlarpass.control.exceptions import CommandRejectedError
+from medlarpass.ledger import OrderLedger
+from medlarpass.rpc import control_pb2
+from medlarpass.rpc import state_pb2
+from medlarpass.tables import ConfigurationTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class ControlState:
+    """Tables, delegations and order ledger, changed only by committed commands."""
+
+    __slots__ = ("applied_index", "ledger", "observers", "tables")
+
+    def __init__(self) -> None:
+        self.tables = ConfigurationTable()
+        self.ledger = OrderLedger()
+        self.applied_index = 0
+        #: Called after each change of the state.
+        self.observers: list[Callable[[], None]] = []
+
+    def apply(self, index: int, payload: bytes) -> bytes:
+        """Apply a committed command.
+
+        :param index: index of the log record
+        :param payload: serialised ``Command``
+        :returns: serialised ``CommandResult``
+        :raises CommandRejectedError: when the command has no known body
+        """
+        command = control_pb2.Command.FromString(payload)
+        body = command.WhichOneof("body")
+        if body is None:
+            raise CommandRejectedError("the command has no body of this version")
+        result = apply_body(getattr(command, body), self, command.time_ms)
+        self.applied_index = index
+        self._notify()
+        return result.SerializeToString()
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        snapshot = state_pb2.ControlSnapshot(
+            tables=self.tables.snapshot(), ledger=self.ledger.snapshot()
+        )
+        return snapshot.SerializeToString()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by that of a snapshot."""
+        snapshot = state_pb2.ControlSnapshot.FromString(data)
+        self.tables = ConfigurationTable.restored(snapshot.tables)
+        self.ledger = OrderLedger.restored(snapshot.ledger)
+        self._notify()
+
+    def _notify(self) -> None:
+        for observer in self.observers:
+            observer()
+
+
+@singledispatch
+def apply_body(body: object, state: ControlState, time_ms: int) -> control_pb2.CommandResult:
+    """Apply the body of a command; one implementation for each kind of body.
+
+    :param body: message inside the command
+    :param state: state to change
+    :param time_ms: time stamped by the leader
+    """
+    raise CommandRejectedError(f"{type(body).__name__} is not a command")
+
+
+@apply_body.register
+def _apply_change(
+    body: control_pb2.ApplyChange, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(change=state.tables.apply(body, time_ms))
+
+
+@apply_body.register
+def _set_drain(
+    body: control_pb2.SetDrain, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(change=state.tables.set_drain(body, time_ms))
+
+
+@apply_body.register
+def _record_refusal(
+    body: control_pb2.RecordRefusal, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    state.tables.record_refusal(body, time_ms)
+    return control_pb2.CommandResult(change=control_pb2.ChangeResult(code=body.code))
+
+
+@apply_body.register
+def _claim_order(
+    body: control_pb2.ClaimOrder, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(claim=state.ledger.claim(body, time_ms))
+
+
+@apply_body.register
+def _complete_order(
+    body: control_pb2.CompleteOrder, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(claim=state.ledger.complete(body, time_ms))
+
+
+@apply_body.register
+def _release_order(
+    body: control_pb2.ReleaseOrder, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(claim=state.ledger.release(body, time_ms))
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/ledger/exceptions.py
@@ -0,0 +1,38 @@
+"""Errors of the order ledger."""
+
+from __future__ import annotations
+
+from medlarpass.exceptions import MedlarpassError
+from medlarpass.outcome import Outcome
+
+
+class LedgerUnavailableError(MedlarpassError):
+    """The claim of an order could not be confirmed; the order was not sent."""
+
+    code = "ledger_unavailable"
+    http_status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class OrderInProgressError(MedlarpassError):
+    """Another attempt holds the claim and has no recorded outcome."""
+
+    code = "order_in_progress"
+    http_status = 409
+    outcome = Outcome.UNKNOWN
+
+
+class IdempotencyKeyConflictError(MedlarpassError):
+    """The idempotency key belongs to an order with another body."""
+
+    code = "idempotency_key_conflict"
+    http_status = 422
+    outcome = Outcome.NOT_RUN
+
+
+class AnswerNotStoredError(MedlarpassError):
+    """The order ran, but its answer was too large to be stored."""
+
+    code = "answer_not_stored"
+    http_status = 409
+    outcome = Outcome.RUN
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/tables/configuration_table.py
@@ -0,0 +1,300 @@
+"""The replicated tables of routes and pools."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+from medlarpass.rpc import control_pb2
+from medlarpass.rpc import state_pb2
+from medlarpass.tables.audit_trail import AuditTrail
+from medlarpass.tables.change_history import ChangeHistory
+from medlarpass.tables.change_history import digest_of
+from medlarpass.tables.exceptions import ChangeIdReusedError
+from medlarpass.tables.exceptions import InvalidDocumentError
+from medlarpass.tables.exceptions import MissingPoolError
+from medlarpass.tables.exceptions import PoolInUseError
+from medlarpass.tables.exceptions import TableError
+from medlarpass.tables.exceptions import VersionConflictError
+from medlarpass.tables.pool import Pool
+from medlarpass.tables.route import Route
+from medlarpass.tables.route_matcher import RouteMatcher
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+ROUTE = control_pb2.ITEM_KIND_ROUTE
+POOL = control_pb2.ITEM_KIND_POOL
+
+ItemKey: TypeAlias = "tuple[control_pb2.ItemKind, str]"
+
+
+class ConfigurationTable:
+    """Aggregate of routes, pools and drains with their history.
+
+    Every replica applies the same messages in the same order, so nothing here may depend on the
+    clock of the process or on chance.
+    """
+
+    __slots__ = ("audit", "deleted", "drained", "history", "items", "revision")
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.items: dict[ItemKey, control_pb2.ConfigurationItem] = {}
+        #: Last versions of deleted items: a name that returns continues from there, so that an
+        #: operator with an old version can't change the new item.
+        self.deleted: dict[ItemKey, int] = {}
+        self.drained: set[str] = set()
+        self.history = ChangeHistory()
+        self.audit = AuditTrail()
+
+    def apply(self, change: control_pb2.ApplyChange, time_ms: int) -> control_pb2.ChangeResult:
+        """Apply a change as a whole or not at all.
+
+        :param change: items with the versions their author saw
+        :param time_ms: time stamped by the leader
+        :returns: the outcome; a repeated change id gets its first outcome
+        """
+        digest = digest_of(change)
+        try:
+            known = self.history.find(change.change_id, digest)
+        except ChangeIdReusedError as error:
+            result = self._refused(error)
+            self._audit_change(change, time_ms, {}, result)
+            return result
+        if known is not None:
+            return known
+        before = {_key(item): self._document(_key(item)) for item in change.items}
+        try:
+            items = self._changed(change)
+            _check(items)
+        except TableError as error:
+            result = self._refused(error)
+        else:
+            self._commit(items)
+            result = control_pb2.ChangeResult(
+                status=control_pb2.CHANGE_STATUS_ACCEPTED, revision=self.revision
+            )
+        result.current.extend(self._current(change))
+        self.history.add(change.change_id, digest, time_ms, result)
+        self._audit_change(change, time_ms, before, result)
+        return result
+
+    def set_drain(self, change: control_pb2.SetDrain, time_ms: int) -> control_pb2.ChangeResult:
+        """Drain a server or end its drain.
+
+        :param change: identity of the server and the wanted state
+        :param time_ms: time stamped by the leader
+        """
+        digest = digest_of(change)
+        try:
+            known = self.history.find(change.change_id, digest)
+        except ChangeIdReusedError as error:
+            return self._refused(error)
+        if known is not None:
+            return known
+        before = change.server in self.drained
+        if change.drained:
+            self.drained.add(change.server)
+        else:
+            self.drained.discard(change.server)
+        self.revision += 1
+        result = control_pb2.ChangeResult(
+            status=control_pb2.CHANGE_STATUS_ACCEPTED, revision=self.revision
+        )
+        self.history.add(change.change_id, digest, time_ms, result)
+        self.audit.add(
+            state_pb2.AuditEntry(
+                time_ms=time_ms,
+                change_id=change.change_id,
+                author=change.author,
+                source=change.source,
+                action=f"drain {change.server}",
+                before=_drain_text(before),
+                after=_drain_text(change.drained),
+                outcome="accepted",
+                revision=self.revision,
+            )
+        )
+        return result
+
+    def record_refusal(self, refusal: control_pb2.RecordRefusal, time_ms: int) -> None:
+        """Audit a request that was refused before it reached the tables."""
+        self.audit.add(
+            state_pb2.AuditEntry(
+                time_ms=time_ms,
+                change_id=refusal.change_id,
+                author=refusal.author,
+                source=refusal.source,
+                action=refusal.summary,
+                outcome=refusal.code,
+                revision=self.revision,
+            )
+        )
+
+    def configuration(self) -> control_pb2.Configuration:
+        """Return what the entries put in force."""
+        return control_pb2.Configuration(
+            revision=self.revision,
+            items=[self.items[key] for key in sorted(self.items)],
+            drained_servers=sorted(self.drained),
+        )
+
+    def pools(self) -> dict[str, Pool]:
+        """Return the pools by name."""
+        return {
+            name: Pool.from_json(name, item.document)
+            for (kind, name), item in self.items.items()
+            if kind == POOL
+        }
+
+    def snapshot(self) -> state_pb2.TableSnapshot:
+        """Return the whole state."""
+        return state_pb2.TableSnapshot(
+            revision=self.revision,
+            items=[self.items[key] for key in sorted(self.items)],
+            deleted=[
+                state_pb2.DeletedItem(kind=kind, name=name, version=version)
+                for (kind, name), version in sorted(self.deleted.items())
+            ],
+            drained_servers=sorted(self.drained),
+            outcomes=self.history.outcomes.values(),
+            audit=self.audit.records,
+            audit_count=self.audit.count,
+        )
+
+    @classmethod
+    def restored(cls, snapshot: state_pb2.TableSnapshot) -> ConfigurationTable:
+        """Return the table that a snapshot holds."""
+        table = cls()
+        table.revision = snapshot.revision
+        table.items = {(item.kind, item.name): item for item in snapshot.items}
+        table.deleted = {(item.kind, item.name): item.version for item in snapshot.deleted}
+        table.drained = set(snapshot.drained_servers)
+        table.history.outcomes = {outcome.change_id: outcome for outcome in snapshot.outcomes}
+        table.audit.records.extend(snapshot.audit)
+        table.audit.count = snapshot.audit_count
+        return table
+
+    def _changed(self, change: control_pb2.ApplyChange) -> dict[ItemKey, str | None]:
+        if not change.items:
+            raise InvalidDocumentError("a change needs at least one item")
+        documents: dict[ItemKey, str | None] = {
+            key: item.document for key, item in self.items.items()
+        }
+        seen: set[ItemKey] = set()
+        for item in change.items:
+            key = _key(item)
+            if key in seen:
+                raise InvalidDocumentError(f"{item.name}: named twice in one change")
+            seen.add(key)
+            self._check_version(item)
+            documents[key] = _canonical(item) if item.HasField("document") else None
+        return documents
+
+    def _check_version(self, item: control_pb2.ItemChange) -> None:
+        present = self.items.get(_key(item))
+        version = present.version if present else 0
+        if item.expected_version != version:
+            raise VersionConflictError(
+                f"{item.name}: expected version {item.expected_version}, present is {version}"
+            )
+        if present is None and not item.HasField("document"):
+            raise VersionConflictError(f"{item.name}: there is no such item to delete")
+
+    def _commit(self, documents: Mapping[ItemKey, str | None]) -> None:
+        self.revision += 1
+        for key, document in documents.items():
+            present = self.items.get(key)
+            if document is None:
+                self.deleted[key] = self.items.pop(key).version
+                continue
+            if present is not None and present.document == document:
+                continue
+            previous = present.version if present else self.deleted.pop(key, 0)
+            kind, name = key
+            self.items[key] = control_pb2.ConfigurationItem(
+                kind=kind, name=name, version=previous + 1, document=document
+            )
+
+    def _document(self, key: ItemKey) -> str:
+        present = self.items.get(key)
+        return present.document if present else ""
+
+    def _current(self, change: control_pb2.ApplyChange) -> list[control_pb2.ConfigurationItem]:
+        present = (self.items.get(_key(item)) for item in change.items)
+        return [item for item in present if item is not None]
+
+    def _refused(self, error: TableError) -> control_pb2.ChangeResult:
+        conflict = isinstance(error, VersionConflictError)
+        return control_pb2.ChangeResult(
+            status=(
+                control_pb2.CHANGE_STATUS_CONFLICT
+                if conflict
+                else control_pb2.CHANGE_STATUS_REFUSED
+            ),
+            revision=self.revision,
+            code=error.code,
+            message=error.message,
+        )
+
+    def _audit_change(
+        self,
+        change: control_pb2.ApplyChange,
+        time_ms: int,
+        before: Mapping[ItemKey, str],
+        result: control_pb2.ChangeResult,
+    ) -> None:
+        for item in change.items:
+            key = _key(item)
+            self.audit.add(
+                state_pb2.AuditEntry(
+                    time_ms=time_ms,
+                    change_id=change.change_id,
+                    author=change.author,
+                    source=change.source,
+                    action=_action(item),
+                    before=before.get(key, ""),
+                    after=item.document,
+                    outcome=result.code or "accepted",
+                    revision=result.revision,
+                )
+            )
+
+
+def _key(item: control_pb2.ItemChange) -> ItemKey:
+    return (item.kind, item.name)
+
+
+def _canonical(item: control_pb2.ItemChange) -> str:
+    if item.kind == ROUTE:
+        return Route.from_json(item.name, item.document).to_json()
+    if item.kind == POOL:
+        return Pool.from_json(item.name, item.document).to_json()
+    raise InvalidDocumentError(f"{item.name}: neither a route nor a pool")
+
+
+def _check(documents: Mapping[ItemKey, str | None]) -> None:
+    pools = {name for (kind, name), text in documents.items() if kind == POOL and text is not None}
+    routes = [
+        Route.from_json(name, text)
+        for (kind, name), text in documents.items()
+        if kind == ROUTE and text is not None
+    ]
+    deleted = {name for (kind, name), text in documents.items() if kind == POOL and text is None}
+    for route in routes:
+        if route.pool in deleted:
+            raise PoolInUseError(f"{route.pool}: still named by route {route.name}")
+        if route.pool not in pools:
+            raise MissingPoolError(f"{route.name}: pool {route.pool} does not exist")
+    RouteMatcher(routes)
+
+
+def _action(item: control_pb2.ItemChange) -> str:
+    kind = "route" if item.kind == ROUTE else "pool"
+    verb = "put" if item.HasField("document") else "delete"
+    return f"{verb} {kind} {item.name}"
+
+
+def _drain_text(drained: bool) -> str:
+    return "drained" if drained else "in use"
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/tables/key_source.py
@@ -0,0 +1,19 @@
+"""Where a route takes the key of a request from."""
+
+from __future__ import annotations
+
+from medlarpass.base import Value
+
+
+class KeySource(Value):
+    """Place of the key in a request.
+
+    :param place: ``path``, ``header`` or ``query``
+    :param name: name of the path segment, header or query parameter
+    """
+
+    __slots__ = ("name", "place")
+
+    def __init__(self, place: str, name: str) -> None:
+        self.place = place
+        self.name = name
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/tables/route.py
@@ -0,0 +1,108 @@
+"""Routes say which requests go to which pool."""
+
+from __future__ import annotations
+
+import json
+
+from typing import Any
+
+from medlarpass.base import Value
+from medlarpass.tables.exceptions import InvalidDocumentError
+from medlarpass.tables.key_source import KeySource
+from medlarpass.tables.request_class import RequestClass
+from medlarpass.tables.schema import ROUTE_SCHEMA
+from medlarpass.tables.schema import parsed
+from medlarpass.tables.schema import validated
+
+
+class Route(Value):
+    """A route of the table.
+
+    :param name: unique name
+    :param document: validated document, with defaults filled in
+    """
+
+    __slots__ = (
+        "body_bytes",
+        "concurrency",
+        "deadline",
+        "host",
+        "key",
+        "methods",
+        "name",
+        "path",
+        "pool",
+        "queue",
+        "request_class",
+    )
+
+    def __init__(self, name: str, document: dict[str, Any]) -> None:
+        key = document.get("key")
+        limits = document["limits"]
+        self.name = name
+        self.host: str = document["host"]
+        self.path: str = document["path"]
+        self.methods: tuple[str, ...] = tuple(document["methods"])
+        self.request_class = RequestClass(document["class"])
+        self.key = KeySource(key["from"], key["name"]) if key else None
+        self.pool: str = document["pool"]
+        #: Seconds a request may take.
+        self.deadline: float = document["deadline_ms"] / 1000
+        self.concurrency: int = limits["concurrency"]
+        self.queue: int = limits["queue"]
+        self.body_bytes: int = limits["body_bytes"]
+
+    @classmethod
+    def from_document(cls, name: str, document: Any) -> Route:
+        """Build a route from parsed JSON or YAML.
+
+        :raises InvalidDocumentError: naming the key and what was expected
+        """
+        route = cls(name, validated(ROUTE_SCHEMA, name, document))
+        route.check_key()
+        return route
+
+    @classmethod
+    def from_json(cls, name: str, text: str) -> Route:
+        """Build a route from JSON text.
+
+        :raises InvalidDocumentError: naming the key and what was expected
+        """
+        return cls.from_document(name, parsed(name, text))
+
+    def check_key(self) -> None:
+        """Check that the key fits the class and the path.
+
+        :raises InvalidDocumentError: when an enquiry has no key or the path lacks its segment
+        """
+        if self.key is None:
+            if self.request_class is RequestClass.ENQUIRY:
+                raise InvalidDocumentError(f"{self.name}: key: expected for an enquiry")
+            return
+        if self.key.place == "path" and f"{{{self.key.name}}}" not in self.path.split("/"):
+            raise InvalidDocumentError(
+                f"{self.name}: key.name: expected a segment of path {self.path}"
+            )
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the document with all defaults."""
+        document: dict[str, Any] = {
+            "host": self.host,
+            "path": self.path,
+            "methods": list(self.methods),
+            "class": self.request_class.value,
+            "pool": self.pool,
+            "deadline_ms": round(self.deadline * 1000),
+            "limits": {
+                "concurrency": self.concurrency,
+                "queue": self.queue,
+                "body_bytes": self.body_bytes,
+            },
+        }
+        if self.key:
+            document["key"] = {"from": self.key.place, "name": self.key.name}
+        return document
+
+    def to_json(self) -> str:
+        """Return the canonical JSON text."""
+        return json.dumps(self.to_document(), sort_keys=True)
--- /dev/null
+++ b/packages/medlarpass/tests/tables/test_configuration_table.py
@@ -0,0 +1,120 @@
+"""Guards against lost, doubled or reverted changes of the tables."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from medlarpass.rpc import control_pb2
+from medlarpass.tables import ConfigurationTable
+
+ROUTE = control_pb2.ITEM_KIND_ROUTE
+POOL = control_pb2.ITEM_KIND_POOL
+ACCEPTED = control_pb2.CHANGE_STATUS_ACCEPTED
+STOCK = {
+    "path": "/stock/{roll}",
+    "methods": ["GET"],
+    "class": "enquiry",
+    "key": {"from": "path", "name": "roll"},
+    "pool": "stock",
+}
+
+
+def pool(version: int = 0, name: str = "stock", **fields: object) -> control_pb2.ItemChange:
+    return control_pb2.ItemChange(
+        kind=POOL, name=name, expected_version=version, document=json.dumps(fields)
+    )
+
+
+def route(version: int = 0, name: str = "stock", **fields: object) -> control_pb2.ItemChange:
+    return control_pb2.ItemChange(
+        kind=ROUTE, name=name, expected_version=version, document=json.dumps({**STOCK, **fields})
+    )
+
+
+def deleted(
+    kind: control_pb2.ItemKind, version: int, name: str = "stock"
+) -> control_pb2.ItemChange:
+    return control_pb2.ItemChange(kind=kind, name=name, expected_version=version)
+
+
+def change(change_id: str, *items: control_pb2.ItemChange) -> control_pb2.ApplyChange:
+    return control_pb2.ApplyChange(change_id=change_id, author="amina", source="test", items=items)
+
+
+def table_with_stock() -> ConfigurationTable:
+    table = ConfigurationTable()
+    assert table.apply(change("start", pool(), route()), 1).status == ACCEPTED
+    return table
+
+
+REFUSED = [
+    ("racing author", [pool(0)], "version_conflict"),
+    ("old version", [pool(7)], "version_conflict"),
+    ("delete of nothing", [deleted(POOL, 0, "none")], "version_conflict"),
+    ("route to a missing pool", [route(1, pool="gone")], "missing_pool"),
+    ("delete of a used pool", [deleted(POOL, 1)], "pool_in_use"),
+    ("same requests twice", [route(0, "copy")], "ambiguous_route"),
+    ("unknown key", [route(1, colour="red")], "invalid_document"),
+    ("wrong type", [pool(1, shards="many")], "invalid_document"),
+    ("boolean for a number", [pool(1, shards=True)], "invalid_document"),
+    ("enquiry without key", [route(1, key=None)], "invalid_document"),
+    ("key segment not in path", [route(1, path="/stock/{x}")], "invalid_document"),
+    ("bad name", [pool(0, "No Good")], "invalid_document"),
+    ("twice in one change", [pool(1), pool(1)], "invalid_document"),
+    ("no item", [], "invalid_document"),
+]
+
+
+@pytest.mark.parametrize(("name", "items", "code"), REFUSED, ids=[case[0] for case in REFUSED])
+def test_refused_change_leaves_the_state(
+    name: str, items: list[control_pb2.ItemChange], code: str
+) -> None:
+    table = table_with_stock()
+    before = table.configuration()
+    result = table.apply(change("bad", *items), 2)
+    assert result.code == code
+    assert table.configuration() == before
+    assert [record.outcome for record in table.audit.records][2:] == [code] * len(items)
+
+
+def test_exactly_one_of_racing_changes_wins() -> None:
+    table = table_with_stock()
+    results = [
+        table.apply(change(f"race-{n}", pool(1, shards=100 + n)), 2).status for n in range(5)
+    ]
+    assert results == [ACCEPTED] + [control_pb2.CHANGE_STATUS_CONFLICT] * 4
+
+
+def test_resent_change_gets_its_first_outcome_also_after_a_snapshot() -> None:
+    table = table_with_stock()
+    first = table.apply(change("once", pool(1, shards=64)), 2)
+    table.apply(change("later", pool(2, shards=32)), 3)
+    table = ConfigurationTable.restored(table.snapshot())
+    again = table.apply(change("once", pool(1, shards=64)), 4)
+    assert again == first
+    assert json.loads(table.configuration().items[1].document)["shards"] == 32
+
+
+def test_change_id_with_other_contents_is_refused() -> None:
+    table = table_with_stock()
+    assert table.apply(change("start", pool(1, shards=8)), 2).code == "change_id_reused"
+
+
+def test_version_continues_after_delete() -> None:
+    table = table_with_stock()
+    assert table.apply(change("gone", deleted(ROUTE, 1), deleted(POOL, 1)), 2).status == ACCEPTED
+    table = ConfigurationTable.restored(table.snapshot())
+    assert table.apply(change("back", pool()), 3).status == ACCEPTED
+    assert table.configuration().items[0].version == 2
+
+
+def test_drain_is_audited_and_repeated_drain_is_one_change() -> None:
+    table = table_with_stock()
+    drain = control_pb2.SetDrain(change_id="d", author="amina", server="s1", drained=True)
+    first = table.set_drain(drain, 2)
+    assert table.set_drain(drain, 3) == first
+    assert table.configuration().drained_servers == ["s1"]
+    assert table.audit.records[-1].action == "drain s1"
+    assert table.audit.count == 3
