--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,3 @@
+"""Examples of programs that work with medlarpass."""
+
+from __future__ import annotations
--- /dev/null
+++ b/examples/standin/announcer.py
@@ -0,0 +1,121 @@
+"""Announces a server and keeps its session by heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+
+from medlarpass.rpc import control_pb2
+from medlarpass.rpc import domain_pb2
+
+if TYPE_CHECKING:
+    from examples.standin.options import StandinOptions
+    from medlarpass.ownership import GrantHolder
+
+CALL_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+RETRY_PAUSE = 0.05
+HTTP_OK = 200
+
+
+class Announcer:
+    """Talks to one entry after the other, as the published interface describes.
+
+    :param options: what to announce
+    :param incarnation: number that grows with each start
+    :param holder: grants of this server
+    """
+
+    def __init__(self, options: StandinOptions, incarnation: int, holder: GrantHolder) -> None:
+        self.options = options
+        self.incarnation = incarnation
+        self.holder = holder
+        self.state = "ready"
+        self.in_flight = 0
+        self.entries = itertools.cycle(options.entries)
+        self.entry = next(self.entries)
+
+    async def run(self) -> None:
+        """Announce and send heartbeats until cancelled."""
+        async with aiohttp.ClientSession(timeout=CALL_TIMEOUT) as session:
+            while True:
+                try:
+                    await self._step(session)
+                except (aiohttp.ClientError, TimeoutError):
+                    self.entry = next(self.entries)
+                    await asyncio.sleep(RETRY_PAUSE)
+
+    async def _step(self, session: aiohttp.ClientSession) -> None:
+        if self.holder.session:
+            await self._heartbeat(session)
+            return
+        ticket = self.holder.begin()
+        status, answer = await self._post(session, "announce", self._announcement())
+        if status == HTTP_OK and answer["session"]:
+            self.holder.announced(ticket, answer["session"], answer["term_ms"])
+            return
+        # Without a coordinator only heartbeats without session keep the server known.
+        await self._heartbeat(session)
+        await asyncio.sleep(RETRY_PAUSE)
+
+    async def _heartbeat(self, session: aiohttp.ClientSession) -> None:
+        ticket = self.holder.begin()
+        document = self._announcement() | {
+            "session": ticket.session,
+            "seen": ticket.seen,
+            "in_flight": self.in_flight,
+            "released": [
+                {
+                    "pool": assignment.pool,
+                    "shard": assignment.shard,
+                    "key": assignment.key or "",
+                    "fence": fence.to_int(),
+                }
+                for assignment, fence in ticket.released
+            ],
+        }
+        status, answer = await self._post(session, "heartbeat", document)
+        if status == HTTP_OK:
+            self.holder.apply(ticket, heartbeat_response(answer))
+        elif ticket.session:
+            self.holder.forget()
+
+    async def _post(
+        self, session: aiohttp.ClientSession, call: str, document: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        async with session.post(f"{self.entry}/v1/servers/{call}", json=document) as response:
+            return response.status, await response.json()
+
+    def _announcement(self) -> dict[str, Any]:
+        options = self.options
+        return {
+            "identity": options.identity,
+            "incarnation": self.incarnation,
+            "ip": options.ip,
+            "port": options.port,
+            "domain": options.domain,
+            "pools": options.pools,
+            "slots": options.slots,
+            "connections": options.connections,
+            "checks_fences": True,
+            "state": self.state,
+        }
+
+
+def heartbeat_response(answer: dict[str, Any]) -> domain_pb2.HeartbeatResponse:
+    """Return the message form of an answer to a heartbeat.
+
+    :param answer: parsed JSON
+    """
+    return domain_pb2.HeartbeatResponse(
+        coordinator=answer["coordinator"],
+        term_ms=answer["term_ms"],
+        version=answer["version"],
+        grants_included="grants" in answer,
+        grants=[control_pb2.GrantStatus(**item) for item in answer.get("grants", [])],
+        release=[domain_pb2.ReleasedGrant(**item) for item in answer["release"]],
+    )
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/application.py
@@ -0,0 +1,157 @@
+"""Builds the roles of a process, starts them and stops them without cutting anything off."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from typing import TYPE_CHECKING
+
+from medlarpass import BootClock
+from medlarpass_daemon.control.control_role import ControlRole
+from medlarpass_daemon.entry.entry_role import EntryRole
+from medlarpass_daemon.events import PROCESS_STARTED
+from medlarpass_daemon.events import PROCESS_STOPPED
+from medlarpass_daemon.events import STOP_ABANDONED
+from medlarpass_daemon.events import STOP_REQUESTED
+from medlarpass_daemon.events import STORAGE_FAILED
+from medlarpass_daemon.observability import LogWriter
+from medlarpass_daemon.observability import Metrics
+from medlarpass_daemon.observability import PlatformServer
+from medlarpass_daemon.observability import Readiness
+from medlarpass_daemon.observability.readiness import STARTING
+from medlarpass_daemon.rpc_channels import RpcChannels
+from medlarpass_daemon.rpc_server import RpcServer
+
+if TYPE_CHECKING:
+    from medlarpass_daemon.settings import DaemonSettings
+
+#: Reason against readiness during a planned stop.
+STOPPING = "stopping"
+#: Seconds that calls between processes get when the gRPC server stops.
+RPC_GRACE = 2.0
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+class Application:
+    """A process with its roles.
+
+    :param settings: checked settings
+    """
+
+    __slots__ = (
+        "channels",
+        "clock",
+        "control",
+        "entry",
+        "log_writer",
+        "metrics",
+        "platform",
+        "readiness",
+        "rpc",
+        "settings",
+        "signals",
+    )
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self.settings = settings
+        self.clock = BootClock()
+        self.channels = RpcChannels(settings.security.tls, settings.address_translation)
+        self.rpc = RpcServer(settings)
+        self.metrics = Metrics()
+        self.readiness = Readiness()
+        self.platform = PlatformServer(settings, self.readiness, self.metrics.registry)
+        self.log_writer = LogWriter(settings.log_file, self.metrics.log_lines_dropped.inc)
+        self.entry: EntryRole | None = None
+        self.control: ControlRole | None = None
+        self.signals: asyncio.Queue[int] = asyncio.Queue()
+
+    async def run(self) -> int:
+        """Run until a signal asks for a stop.
+
+        :returns: exit status: 0 after a planned stop, 1 after a second signal or a failure
+        """
+        self._catch_signals()
+        self.log_writer.start()
+        try:
+            await self._start()
+            PROCESS_STARTED.log(name=self.settings.name, domain=self.settings.domain)
+            number = await self._signal_or_failure()
+            if number is None:
+                return EXIT_FAILED
+            STOP_REQUESTED.log(signal=signal.Signals(number).name)
+            return await self._stop_unless_abandoned()
+        finally:
+            self.log_writer.close()
+
+    def _catch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.signals.put_nowait, number)
+
+    async def _start(self) -> None:
+        if self.settings.control:
+            self.control = ControlRole(
+                self.settings, self.settings.control, self.channels, self.clock
+            )
+            self.control.add_services(self.rpc.server)
+        if self.settings.entry:
+            self.entry = EntryRole(
+                self.settings, self.settings.entry, self.channels, self.readiness, self.clock
+            )
+            self.entry.add_services(self.rpc.server)
+        await self.platform.start()
+        await self.rpc.start()
+        if self.control:
+            await self.control.start()
+        if self.entry:
+            await self.entry.start()
+        self.readiness.clear(STARTING)
+
+    async def _signal_or_failure(self) -> int | None:
+        waiting = asyncio.create_task(self.signals.get())
+        if self.control is None:
+            return await waiting
+        failing = asyncio.create_task(self.control.replica.wait_failed())
+        await asyncio.wait([waiting, failing], return_when=asyncio.FIRST_COMPLETED)
+        if waiting.done():
+            failing.cancel()
+            return waiting.result()
+        waiting.cancel()
+        STORAGE_FAILED.log(reason=str(failing.result()))
+        return None
+
+    async def _stop_unless_abandoned(self) -> int:
+        stopping = asyncio.create_task(self._stop())
+        second = asyncio.create_task(self.signals.get())
+        await asyncio.wait([stopping, second], return_when=asyncio.FIRST_COMPLETED)
+        if not stopping.done():
+            STOP_ABANDONED.log(signal=signal.Signals(second.result()).name)
+            stopping.cancel()
+            return EXIT_FAILED
+        second.cancel()
+        stopping.result()
+        PROCESS_STOPPED.log(name=self.settings.name)
+        return EXIT_OK
+
+    async def _stop(self) -> None:
+        self.readiness.block(STOPPING, "a planned stop is under way")
+        await asyncio.sleep(self.settings.stop.balancer_wait)
+        if self.entry:
+            await self.entry.finish()
+            await self.entry.stop()
+        if self.control:
+            await self.control.stop()
+        await self.rpc.stop(RPC_GRACE)
+        await self.channels.close()
+        await self.platform.stop()
+
+
+async def run_application(settings: DaemonSettings) -> int:
+    """Run a process; gRPC binds to the running loop, so the application is built inside it.
+
+    :param settings: checked settings
+    :returns: exit status
+    """
+    return await Application(settings).run()
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/__init__.py
@@ -0,0 +1,3 @@
+"""Role control: a replica of the control log."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/replica_log.py
@@ -0,0 +1,52 @@
+"""The replicated log as the services of a control replica see it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass.replication import NotLeaderError
+from medlarpass.replication import ProposalUnknownError
+from medlarpass.rpc import control_pb2
+from medlarpass_daemon.exceptions import CommandUnknownError
+from medlarpass_daemon.exceptions import ControlUnavailableError
+
+if TYPE_CHECKING:
+    from medlarpass.control import ControlState
+    from medlarpass.replication import Replica
+    from medlarpass_daemon.control.wall_clock import WallClock
+
+
+class ReplicaLog:
+    """Stamps commands and proposes them to the local replica.
+
+    :param replica: replica of this process
+    :param state: state machine of the replica
+    :param wall_clock: source of the time in commands
+    """
+
+    __slots__ = ("replica", "state", "wall_clock")
+
+    def __init__(self, replica: Replica, state: ControlState, wall_clock: WallClock) -> None:
+        self.replica = replica
+        self.state = state
+        self.wall_clock = wall_clock
+
+    async def propose(self, command: control_pb2.Command) -> control_pb2.CommandResult:
+        """Propose a command to the local replica.
+
+        :raises ControlUnavailableError: this replica is not the leader
+        :raises CommandUnknownError: leadership was lost before the command was committed
+        """
+        command.time_ms = self.wall_clock.now_ms()
+        try:
+            result = await self.replica.propose(command.SerializeToString())
+        except NotLeaderError as error:
+            raise ControlUnavailableError(error.message) from error
+        except ProposalUnknownError as error:
+            raise CommandUnknownError(error.message) from error
+        return control_pb2.CommandResult.FromString(result)
+
+    def leader_address(self) -> str:
+        """Return the address of the leader, or an empty text."""
+        leader = self.replica.leader
+        return leader.address if leader else ""
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/status_poller.py
@@ -0,0 +1,66 @@
+"""Last status of every control replica."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+import grpc
+
+from medlarpass.rpc import control_pb2
+from medlarpass.rpc import control_pb2_grpc
+
+if TYPE_CHECKING:
+    from medlarpass.replication import Replica
+    from medlarpass_daemon.rpc_channels import RpcChannels
+
+POLL_INTERVAL = 0.5
+CALL_TIMEOUT = 0.5
+
+
+class StatusPoller:
+    """Asks the members for their status, so that any replica can answer operators.
+
+    :param replica: replica of this process
+    :param channels: gRPC channels
+    """
+
+    __slots__ = ("channels", "replica", "statuses")
+
+    def __init__(self, replica: Replica, channels: RpcChannels) -> None:
+        self.replica = replica
+        self.channels = channels
+        #: By address; a member that did not answer last time is missing.
+        self.statuses: dict[str, control_pb2.StatusResponse] = {}
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def poll(self) -> None:
+        """Ask all members once."""
+        addresses = [member.address for member in self.replica.membership.members]
+        answers = await asyncio.gather(*(self.ask(address) for address in addresses))
+        self.statuses = {
+            address: answer
+            for address, answer in zip(addresses, answers, strict=True)
+            if answer is not None
+        }
+
+    async def ask(self, address: str) -> control_pb2.StatusResponse | None:
+        """Ask one replica.
+
+        :param address: ``IP:PORT`` of the replica
+        :returns: its status, or None when it did not answer
+        """
+        stub = control_pb2_grpc.ControlStub(self.channels.to(address))
+        try:
+            response: control_pb2.StatusResponse = await stub.Status(
+                control_pb2.StatusRequest(), timeout=CALL_TIMEOUT
+            )
+        except grpc.aio.AioRpcError:
+            return None
+        return response
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/wall_clock.py
@@ -0,0 +1,19 @@
+"""Time of day for records of changes."""
+
+from __future__ import annotations
+
+import time
+
+
+class WallClock:
+    """Unix time in milliseconds that never goes back within a process."""
+
+    __slots__ = ("last_ms",)
+
+    def __init__(self) -> None:
+        self.last_ms = 0
+
+    def now_ms(self) -> int:
+        """Return the time of day."""
+        self.last_ms = max(self.last_ms, time.time_ns() // 1_000_000)
+        return self.last_ms
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/acceptor_clients.py
@@ -0,0 +1,100 @@
+"""Clients of the coordinator lease's acceptors."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import grpc
+
+from medlarpass.rpc import domain_pb2
+from medlarpass.rpc import domain_pb2_grpc
+
+if TYPE_CHECKING:
+    from medlarpass.ownership import LeaseAcceptor
+    from medlarpass_daemon.rpc_channels import RpcChannels
+
+
+class LocalAcceptorClient:
+    """Calls the acceptor of this process.
+
+    :param acceptor: acceptor of this entry
+    """
+
+    __slots__ = ("acceptor",)
+
+    def __init__(self, acceptor: LeaseAcceptor) -> None:
+        self.acceptor = acceptor
+
+    async def prepare(self, request: domain_pb2.PrepareRequest) -> domain_pb2.PrepareResponse:
+        """Call ``Prepare``."""
+        return self.acceptor.prepare(request)
+
+    async def accept(self, request: domain_pb2.AcceptRequest) -> domain_pb2.AcceptResponse:
+        """Call ``Accept``."""
+        return self.acceptor.accept(request)
+
+    async def replicate_grants(
+        self, request: domain_pb2.ReplicateGrantsRequest
+    ) -> domain_pb2.ReplicateGrantsResponse:
+        """Call ``ReplicateGrants``."""
+        return self.acceptor.replicate_grants(request)
+
+
+class RpcAcceptorClient:
+    """Calls the acceptor of another entry.
+
+    :param channels: gRPC channels
+    :param address: ``IP:PORT`` of the entry
+    :param timeout: limit of a call in seconds
+    """
+
+    __slots__ = ("address", "channels", "timeout")
+
+    def __init__(self, channels: RpcChannels, address: str, timeout: float) -> None:
+        self.channels = channels
+        self.address = address
+        self.timeout = timeout
+
+    async def prepare(self, request: domain_pb2.PrepareRequest) -> domain_pb2.PrepareResponse:
+        """Call ``Prepare``.
+
+        :raises ConnectionError: when the entry did not answer
+        """
+        try:
+            response: domain_pb2.PrepareResponse = await self._stub().Prepare(
+                request, timeout=self.timeout
+            )
+        except grpc.aio.AioRpcError as error:
+            raise ConnectionError(self.address) from error
+        return response
+
+    async def accept(self, request: domain_pb2.AcceptRequest) -> domain_pb2.AcceptResponse:
+        """Call ``Accept``.
+
+        :raises ConnectionError: when the entry did not answer
+        """
+        try:
+            response: domain_pb2.AcceptResponse = await self._stub().Accept(
+                request, timeout=self.timeout
+            )
+        except grpc.aio.AioRpcError as error:
+            raise ConnectionError(self.address) from error
+        return response
+
+    async def replicate_grants(
+        self, request: domain_pb2.ReplicateGrantsRequest
+    ) -> domain_pb2.ReplicateGrantsResponse:
+        """Call ``ReplicateGrants``.
+
+        :raises ConnectionError: when the entry did not answer
+        """
+        try:
+            response: domain_pb2.ReplicateGrantsResponse = await self._stub().ReplicateGrants(
+                request, timeout=self.timeout
+            )
+        except grpc.aio.AioRpcError as error:
+            raise ConnectionError(self.address) from error
+        return response
+
+    def _stub(self) -> domain_pb2_grpc.DomainStub:
+        return domain_pb2_grpc.DomainStub(self.channels.to(self.address))
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/configuration_store.py
@@ -0,0 +1,63 @@
+"""Configuration in force at an entry."""
+
+from __future__ import annotations
+
+import asyncio
+
+from medlarpass.rpc import control_pb2
+from medlarpass.tables import Pool
+from medlarpass.tables import Route
+from medlarpass.tables import RouteMatcher
+
+
+class ConfigurationStore:
+    """Newest configuration this entry has seen; an older one never replaces it."""
+
+    __slots__ = ("changed", "configuration", "drained", "matcher", "pools")
+
+    def __init__(self) -> None:
+        self.configuration = control_pb2.Configuration()
+        self.matcher = RouteMatcher([])
+        self.pools: dict[str, Pool] = {}
+        self.drained: frozenset[str] = frozenset()
+        #: Replaced and set on each change.
+        self.changed = asyncio.Event()
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; 0 before the first configuration."""
+        return self.configuration.revision
+
+    def offer(self, configuration: control_pb2.Configuration) -> bool:
+        """Put a configuration in force if it is newer.
+
+        :param configuration: from a control replica or a peer
+        :returns: whether it was newer
+        :raises TableError: when the configuration is not valid; the old one stays in force
+        """
+        if configuration.revision <= self.revision:
+            return False
+        matcher = RouteMatcher(_routes(configuration))
+        self.pools = _pools(configuration)
+        self.matcher = matcher
+        self.drained = frozenset(configuration.drained_servers)
+        self.configuration = configuration
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return True
+
+
+def _routes(configuration: control_pb2.Configuration) -> list[Route]:
+    return [
+        Route.from_json(item.name, item.document)
+        for item in configuration.items
+        if item.kind == control_pb2.ITEM_KIND_ROUTE
+    ]
+
+
+def _pools(configuration: control_pb2.Configuration) -> dict[str, Pool]:
+    return {
+        item.name: Pool.from_json(item.name, item.document)
+        for item in configuration.items
+        if item.kind == control_pb2.ITEM_KIND_POOL
+    }
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
@@ -0,0 +1,339 @@
+"""Duties of the entry that holds the coordinator lease of its failure domain."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from typing import TYPE_CHECKING
+
+import grpc
+
+from medlarpass import MedlarpassError
+from medlarpass.ownership import Coordinator
+from medlarpass.ownership import EpochsPendingError
+from medlarpass.rpc import control_pb2
+from medlarpass.rpc import control_pb2_grpc
+from medlarpass.rpc import domain_pb2
+from medlarpass_daemon.entry.events import COORDINATOR_REPORT_FAILED
+from medlarpass_daemon.entry.events import COORDINATOR_STARTED
+from medlarpass_daemon.entry.events import COORDINATOR_STOPPED
+from medlarpass_daemon.entry.events import GRANTS_NOT_REPLICATED
+from medlarpass_daemon.entry.grant_planner import GrantPlanner
+
+if TYPE_CHECKING:
+    from medlarpass import Clock
+    from medlarpass.ownership import LeaseProposer
+    from medlarpass.registry import ServerRegistry
+    from medlarpass_daemon.entry.configuration_store import ConfigurationStore
+    from medlarpass_daemon.entry.control_directory import ControlDirectory
+    from medlarpass_daemon.entry.load_reports import LoadReports
+    from medlarpass_daemon.rpc_channels import RpcChannels
+    from medlarpass_daemon.settings import DaemonSettings
+    from medlarpass_daemon.settings import EntrySettings
+
+#: Seconds between two looks at sessions, unless something happens earlier.
+TICK = 0.02
+#: Seconds between two reports to control, unless something was released.
+REPORT_INTERVAL = 1.0
+REPORT_TIMEOUT = 1.0
+#: The lease is renewed this often within its term.
+RENEWALS_PER_TERM = 4
+#: Longest time a poll is held open, in seconds, whatever the caller asks for.
+MAX_WAIT = 5.0
+
+
+class CoordinatorTask:
+    """Competes for the lease and, while it holds it, grants keys to servers.
+
+    :param settings: settings of the process
+    :param entry: settings of the role entry
+    :param proposer: proposer of the coordinator lease
+    :param registry: servers known to this entry
+    :param store: configuration in force
+    :param loads: load of shards and hot keys
+    :param control: addresses of the control replicas
+    :param channels: gRPC channels
+    :param clock: clock of this process
+    """
+
+    __slots__ = (
+        "channels",
+        "clock",
+        "control",
+        "coordinator",
+        "entry",
+        "in_office",
+        "news",
+        "planner",
+        "proposer",
+        "registry",
+        "report_due",
+        "resigning",
+        "settings",
+        "store",
+        "tasks",
+        "work",
+    )
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        entry: EntrySettings,
+        proposer: LeaseProposer,
+        registry: ServerRegistry,
+        store: ConfigurationStore,
+        loads: LoadReports,
+        control: ControlDirectory,
+        channels: RpcChannels,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.entry = entry
+        self.proposer = proposer
+        self.registry = registry
+        self.store = store
+        self.control = control
+        self.channels = channels
+        self.clock = clock
+        self.coordinator = Coordinator(clock, entry.session_term, proposer.is_holder)
+        self.planner = GrantPlanner(self.coordinator, registry, loads, clock)
+        self.in_office = False
+        self.resigning = False
+        #: Replaced and set whenever committed grants or sessions have changed.
+        self.news = asyncio.Event()
+        #: Set when there is something to plan.
+        self.work = asyncio.Event()
+        #: Set when a report to control should not wait.
+        self.report_due = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Compete for the lease and keep it, until cancelled."""
+        try:
+            while True:
+                await self._compete()
+        finally:
+            self._leave_office()
+
+    async def resign(self) -> None:
+        """Hand over the lease before a planned stop; this entry does not compete again."""
+        self.resigning = True
+        await self.proposer.resign()
+        self._leave_office()
+
+    async def heartbeat(self, request: domain_pb2.HeartbeatRequest) -> domain_pb2.HeartbeatResponse:
+        """Answer an announcement or heartbeat; a heartbeat waits for news.
+
+        :param request: from a server of this domain
+        """
+        if not self._serves():
+            return domain_pb2.HeartbeatResponse(coordinator=False)
+        self.registry.hear_from_peer(request.server)
+        try:
+            if request.announcement:
+                return self._announce(request)
+            self.coordinator.confirm(request)
+        except MedlarpassError as error:
+            return domain_pb2.HeartbeatResponse(coordinator=True, failure=_failure(error))
+        self.work.set()
+        await self._wait_for_news(request)
+        if not self._serves():
+            return domain_pb2.HeartbeatResponse(coordinator=False)
+        return self.coordinator.answer(request)
+
+    async def watch(self, request: domain_pb2.WatchDomainRequest) -> domain_pb2.WatchDomainResponse:
+        """Tell an entry the grants, sessions and servers of this domain."""
+        known = (request.known_ballot, request.known_version)
+        if self._serves() and known == (self.proposer.ballot, self._version()):
+            await self._next_news(request.wait_ms / 1000)
+        response = self._watch_now(request)
+        _add_servers(response, self.registry.statuses(self.settings.domain))
+        if not response.coordinator:
+            response.coordinator_address = self.coordinator_address()
+        return response
+
+    def coordinator_address(self) -> str:
+        """Return the address of the coordinator as far as this entry knows, or an empty text."""
+        acceptor_holder = self.proposer.holder
+        for peer in self.entry.peers:
+            if peer.name == acceptor_holder and peer.domain == self.settings.domain:
+                return peer.address
+        return ""
+
+    async def _compete(self) -> None:
+        pause = self.proposer.term / RENEWALS_PER_TERM
+        if self.resigning:
+            await asyncio.sleep(pause)
+            return
+        if self.in_office:
+            await asyncio.sleep(pause)
+            if not await self.proposer.renew():
+                self._leave_office()
+            return
+        if await self.proposer.acquire() and not self.resigning:
+            self._take_office()
+            return
+        # Random pauses keep two candidates from refusing each other again and again.
+        await asyncio.sleep(pause * random.uniform(0.2, 1.0))
+
+    def _take_office(self) -> None:
+        self.coordinator.elected(
+            self.proposer.adopted, self.proposer.ballot, self.proposer.needs_new_epochs
+        )
+        self.planner.reset()
+        self.in_office = True
+        self.report_due.set()
+        self.work.set()
+        self.tasks = [
+            asyncio.create_task(self._run_grants()),
+            asyncio.create_task(self._run_reports()),
+        ]
+        COORDINATOR_STARTED.log(domain=self.settings.domain, ballot=self.proposer.ballot.number)
+
+    def _leave_office(self) -> None:
+        if not self.in_office:
+            return
+        self.in_office = False
+        for task in self.tasks:
+            task.cancel()
+        self.tasks = []
+        self._publish()
+        COORDINATOR_STOPPED.log(domain=self.settings.domain)
+
+    def _serves(self) -> bool:
+        return self.in_office and self.proposer.is_holder()
+
+    def _version(self) -> int:
+        return self.coordinator.grants.committed.version
+
+    def _announce(self, request: domain_pb2.HeartbeatRequest) -> domain_pb2.HeartbeatResponse:
+        announced = self.coordinator.announce(request.server)
+        if announced is None:
+            return domain_pb2.HeartbeatResponse(coordinator=False)
+        session, term_ms = announced
+        self.work.set()
+        return domain_pb2.HeartbeatResponse(
+            coordinator=True, session=session.session, term_ms=term_ms
+        )
+
+    async def _wait_for_news(self, request: domain_pb2.HeartbeatRequest) -> None:
+        deadline = self.clock.now() + min(request.wait_ms / 1000, self.entry.heartbeat_wait)
+        while not self.coordinator.has_news(request):
+            remaining = deadline - self.clock.now()
+            if remaining <= 0 or not self._serves():
+                return
+            await self._next_news(remaining)
+
+    async def _next_news(self, timeout: float) -> None:
+        news = self.news
+        try:
+            async with asyncio.timeout(min(timeout, MAX_WAIT)):
+                await news.wait()
+        except TimeoutError:
+            return
+
+    def _watch_now(self, request: domain_pb2.WatchDomainRequest) -> domain_pb2.WatchDomainResponse:
+        if not self._serves():
+            return domain_pb2.WatchDomainResponse(coordinator=False)
+        return self.coordinator.watch(request, self.proposer.ballot)
+
+    async def _run_grants(self) -> None:
+        while True:
+            self.coordinator.tick()
+            if self.planner.plan(self.store.pools):
+                self._publish()
+            if self.coordinator.grants.version != self._version():
+                await self._replicate()
+            await self._wait_for_work()
+
+    async def _wait_for_work(self) -> None:
+        try:
+            async with asyncio.timeout(TICK):
+                await self.work.wait()
+        except TimeoutError:
+            return
+        self.work.clear()
+
+    async def _replicate(self) -> None:
+        try:
+            record = self.coordinator.grants.record(self.proposer.ballot)
+        except EpochsPendingError:
+            self.report_due.set()
+            return
+        if not await self.proposer.replicate(record):
+            GRANTS_NOT_REPLICATED.log(version=record.version)
+            return
+        self.coordinator.grants.commit(record.version)
+        if self.coordinator.grants.released_shards():
+            self.report_due.set()
+        self._publish()
+
+    def _publish(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
+
+    async def _run_reports(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(REPORT_INTERVAL):
+                    await self.report_due.wait()
+            except TimeoutError:
+                pass
+            self.report_due.clear()
+            await self._report()
+            await asyncio.sleep(TICK)
+
+    async def _report(self) -> None:
+        address = self.control.leader or self.control.next_address()
+        asked_at = self.clock.now()
+        stub = control_pb2_grpc.ControlStub(self.channels.to(address))
+        try:
+            response: control_pb2.DomainReportResponse = await stub.ReportDomain(
+                self._domain_report(), timeout=REPORT_TIMEOUT
+            )
+        except grpc.aio.AioRpcError as error:
+            COORDINATOR_REPORT_FAILED.log(address=address, status=error.code().name)
+            self.control.leader = ""
+            self.report_due.set()
+            return
+        self.control.leader = response.leader_address
+        if not response.confirmed:
+            self.report_due.set()
+            return
+        self.coordinator.grants.apply_report(response, asked_at)
+        if response.new_epochs:
+            self.proposer.epochs_renewed()
+        self.work.set()
+
+    def _domain_report(self) -> control_pb2.DomainReport:
+        grants = self.coordinator.grants
+        return control_pb2.DomainReport(
+            domain=self.settings.domain,
+            coordinator=self.settings.name,
+            ballot=self.proposer.ballot.number,
+            needs_new_epochs=grants.epochs_pending,
+            loads=self.planner.pool_loads(self.store.pools),
+            released=grants.released_shards(),
+            servers=self.registry.statuses(self.settings.domain),
+            grants=grants.visible(),
+        )
+
+
+def _failure(error: MedlarpassError) -> control_pb2.Failure:
+    return control_pb2.Failure(code=error.code, message=error.message)
+
+
+def _add_servers(
+    response: domain_pb2.WatchDomainResponse, servers: list[control_pb2.ServerStatus]
+) -> None:
+    """Join the sessions in a response with what the registry knows of their servers."""
+    sessions = {(each.identity, each.incarnation): each for each in response.servers}
+    del response.servers[:]
+    for server in servers:
+        session = sessions.pop((server.identity, server.incarnation), None)
+        if session is not None:
+            server.holds_session = True
+            server.session_remaining_ms = session.session_remaining_ms
+        response.servers.append(server)
+    response.servers.extend(sessions.values())
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
@@ -0,0 +1,210 @@
+"""Everything that a process with the role entry runs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from typing import TYPE_CHECKING
+
+from medlarpass.ownership import LeaseAcceptor
+from medlarpass.ownership import LeaseProposer
+from medlarpass.registry import ServerRegistry
+from medlarpass.rpc import domain_pb2_grpc
+from medlarpass_daemon.entry.acceptor_clients import LocalAcceptorClient
+from medlarpass_daemon.entry.acceptor_clients import RpcAcceptorClient
+from medlarpass_daemon.entry.callers import CallersServer
+from medlarpass_daemon.entry.configuration_store import ConfigurationStore
+from medlarpass_daemon.entry.configuration_watcher import ConfigurationWatcher
+from medlarpass_daemon.entry.control_client import ControlClient
+from medlarpass_daemon.entry.control_directory import ControlDirectory
+from medlarpass_daemon.entry.coordinator_task import CoordinatorTask
+from medlarpass_daemon.entry.directories import OwnerDirectory
+from medlarpass_daemon.entry.directories import ServerDirectory
+from medlarpass_daemon.entry.directories import TargetFactory
+from medlarpass_daemon.entry.domain_service import DomainService
+from medlarpass_daemon.entry.domain_watcher import DomainWatcher
+from medlarpass_daemon.entry.load_reports import LoadReports
+from medlarpass_daemon.entry.order_claims import OrderClaims
+from medlarpass_daemon.entry.own_loads import OwnLoads
+from medlarpass_daemon.entry.peer_exchange import PeerExchange
+from medlarpass_daemon.entry.server_gateway import ServerGateway
+from medlarpass_daemon.entry.servers_server import ServersServer
+
+if TYPE_CHECKING:
+    import grpc
+
+    from medlarpass import Clock
+    from medlarpass.ownership import AcceptorClient
+    from medlarpass.rpc import domain_pb2
+    from medlarpass_daemon.observability import Readiness
+    from medlarpass_daemon.rpc_channels import RpcChannels
+    from medlarpass_daemon.settings import DaemonSettings
+    from medlarpass_daemon.settings import EntrySettings
+
+#: Reason against readiness until the first configuration is in force.
+NO_CONFIGURATION = "no_configuration"
+
+
+class EntryRole:
+    """The request path, the servers' interface and the duties within the failure domain.
+
+    :param settings: settings of the process
+    :param entry: settings of the role
+    :param channels: gRPC channels
+    :param readiness: reasons why callers must not be sent here
+    :param clock: clock of this process
+    """
+
+    __slots__ = (
+        "acceptor",
+        "callers",
+        "channels",
+        "clock",
+        "control",
+        "coordinator",
+        "entry",
+        "exchange",
+        "loads",
+        "own_loads",
+        "owners",
+        "readiness",
+        "registry",
+        "servers",
+        "settings",
+        "store",
+        "targets",
+        "tasks",
+    )
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        entry: EntrySettings,
+        channels: RpcChannels,
+        readiness: Readiness,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.readiness = readiness
+        self.entry = entry
+        self.channels = channels
+        self.clock = clock
+        self.store = ConfigurationStore()
+        self.registry = ServerRegistry(clock)
+        self.targets = TargetFactory(settings.address_translation)
+        self.loads = LoadReports(clock)
+        self.own_loads = OwnLoads(self.store, clock)
+        self.control = ControlDirectory(entry.control)
+        self.acceptor = LeaseAcceptor(clock, entry.coordinator_term)
+        self.coordinator = self._coordinator()
+        domains = dict.fromkeys(peer.domain for peer in entry.peers)
+        self.owners = OwnerDirectory(domains, self.registry, self.targets, self.own_loads, clock)
+        self.callers = self._callers()
+        self.exchange = PeerExchange(
+            settings, entry, self.registry, self.store, self.loads, self._fill_loads, channels
+        )
+        gateway = ServerGateway(
+            settings,
+            entry,
+            self.registry,
+            self.acceptor,
+            self.coordinator,
+            self.exchange,
+            channels,
+        )
+        self.servers = ServersServer(settings, entry, gateway)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def add_services(self, server: grpc.aio.Server) -> None:
+        """Add the gRPC service of this role."""
+        service = DomainService(self.acceptor, self.coordinator, self.exchange)
+        domain_pb2_grpc.add_DomainServicer_to_server(service, server)
+
+    async def start(self) -> None:
+        """Start all tasks and listeners; the gRPC server must be serving."""
+        watcher = ConfigurationWatcher(self.settings, self.store, self.control, self.channels)
+        self.tasks = [
+            asyncio.create_task(watcher.run()),
+            asyncio.create_task(self._follow_configuration()),
+            asyncio.create_task(self.coordinator.run()),
+            asyncio.create_task(self.exchange.run()),
+            *(asyncio.create_task(self._watcher(domain).run()) for domain in self.owners.views),
+        ]
+        await self.servers.start()
+        await self.callers.start()
+
+    async def finish(self) -> None:
+        """Hand over the lease and finish all requests in flight."""
+        self.callers.stop_accepting()
+        await self.coordinator.resign()
+        await self.callers.finish(self.settings.stop.finish_within)
+
+    async def stop(self) -> None:
+        """Stop the remaining tasks and listeners."""
+        await self.servers.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _coordinator(self) -> CoordinatorTask:
+        acceptors: dict[str, AcceptorClient] = {
+            peer.name: RpcAcceptorClient(self.channels, peer.address, self.entry.coordinator_term)
+            for peer in self.entry.peers
+            if peer.domain == self.settings.domain
+        }
+        acceptors[self.settings.name] = LocalAcceptorClient(self.acceptor)
+        proposer = LeaseProposer(
+            self.settings.name,
+            time.time_ns() // 1_000_000,
+            acceptors,
+            self.clock,
+            self.entry.coordinator_term,
+        )
+        return CoordinatorTask(
+            self.settings,
+            self.entry,
+            proposer,
+            self.registry,
+            self.store,
+            self.loads,
+            self.control,
+            self.channels,
+            self.clock,
+        )
+
+    def _callers(self) -> CallersServer:
+        client = ControlClient(self.control, self.channels, self.clock)
+        return CallersServer(
+            self.settings,
+            self.store,
+            self.owners,
+            ServerDirectory(self.registry, self.targets),
+            OrderClaims(self.settings.name, client, self.clock),
+            self.loads,
+            self.clock,
+        )
+
+    def _watcher(self, domain: str) -> DomainWatcher:
+        return DomainWatcher(
+            domain,
+            self.entry,
+            self.owners.views[domain],
+            self.registry,
+            self.owners.changed,
+            self.channels,
+            self.clock,
+        )
+
+    def _fill_loads(self, report: domain_pb2.PeerReport) -> None:
+        self.own_loads.fill(report, self.callers)
+
+    async def _follow_configuration(self) -> None:
+        self.readiness.block(NO_CONFIGURATION, "no configuration from control or a peer yet")
+        while True:
+            changed = self.store.changed
+            if self.store.revision:
+                self.readiness.clear(NO_CONFIGURATION)
+            self.registry.set_drained(self.store.drained)
+            self.coordinator.work.set()
+            await changed.wait()
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/grant_planner.py
@@ -0,0 +1,146 @@
+"""Turns placements into grants and releases."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass.ownership import Candidate
+from medlarpass.ownership import Placement
+from medlarpass.ownership import PlacementSettings
+from medlarpass.registry import ServerState
+from medlarpass.rpc import control_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from medlarpass import Clock
+    from medlarpass.ownership import Assignment
+    from medlarpass.ownership import Coordinator
+    from medlarpass.registry import Presence
+    from medlarpass.registry import ServerRegistry
+    from medlarpass.tables import Pool
+    from medlarpass_daemon.entry.load_reports import LoadReports
+
+#: Seconds between two plans of a pool in which nothing waits for an owner.
+BALANCE_INTERVAL = 1.0
+#: Pools that favour balance accept more moves for a smaller difference between servers.
+HYSTERESIS = {"balance": 0.05, "availability": 0.1}
+
+
+class GrantPlanner:
+    """Plans the grants of a domain.
+
+    :param coordinator: sessions and grants
+    :param registry: servers of the domain
+    :param loads: load of shards and hot keys
+    :param clock: clock of this process
+    """
+
+    __slots__ = ("balanced_at", "clock", "coordinator", "loads", "placements", "registry")
+
+    def __init__(
+        self,
+        coordinator: Coordinator,
+        registry: ServerRegistry,
+        loads: LoadReports,
+        clock: Clock,
+    ) -> None:
+        self.coordinator = coordinator
+        self.registry = registry
+        self.loads = loads
+        self.clock = clock
+        self.placements: dict[str, Placement] = {}
+        self.balanced_at: dict[str, float] = {}
+
+    def reset(self) -> None:
+        """Forget the placements of an earlier term of office."""
+        self.placements.clear()
+        self.balanced_at.clear()
+
+    def plan(self, pools: Mapping[str, Pool]) -> bool:
+        """Grant what has no owner and start the moves that are due.
+
+        :param pools: pools in force
+        :returns: whether a release was started, which changes no version but has to be told
+        """
+        grantable: dict[str, list[Assignment]] = {}
+        for assignment in self.coordinator.grants.grantable():
+            grantable.setdefault(assignment.pool, []).append(assignment)
+        owned = [pool for pool in pools.values() if pool.owned]
+        released = [self._plan_pool(pool, grantable.get(pool.name, [])) for pool in owned]
+        return any(released)
+
+    def pool_loads(self, pools: Mapping[str, Pool]) -> list[control_pb2.PoolLoad]:
+        """Return the capacity of the domain for each pool.
+
+        :param pools: pools in force
+        """
+        return [self._pool_load(pool) for pool in pools.values() if pool.owned]
+
+    def _pool_load(self, pool: Pool) -> control_pb2.PoolLoad:
+        ready = [each for each in self._candidates(pool.name) if not each.draining]
+        return control_pb2.PoolLoad(
+            pool=pool.name,
+            ready_servers=len(ready),
+            ready_slots=sum(each.slots for each in ready),
+            requests_per_second=sum(self.loads.of_pool(pool.name).values()),
+        )
+
+    def _plan_pool(self, pool: Pool, grantable: list[Assignment]) -> bool:
+        candidates = self._candidates(pool.name)
+        draining = {each.server for each in candidates if each.draining}
+        owners = self._owners(pool.name)
+        due = self.clock.now() >= self.balanced_at.get(pool.name, 0.0) + BALANCE_INTERVAL
+        if not grantable and not due and draining.isdisjoint(owners.values()):
+            return False
+        self.balanced_at[pool.name] = self.clock.now()
+        known: dict[Assignment, str | None] = {**owners, **dict.fromkeys(grantable)}
+        plan = self._placement(pool).plan(known, candidates, self.loads.of_pool(pool.name))
+        for assignment, server in plan.items():
+            if assignment in owners:
+                self.coordinator.grants.start_release(assignment)
+            else:
+                self._grant(assignment, server)
+        return not owners.keys().isdisjoint(plan)
+
+    def _grant(self, assignment: Assignment, server: str) -> None:
+        presence = self.registry.presences[server]
+        self.coordinator.grants.grant(assignment, server, presence.server.incarnation)
+
+    def _owners(self, pool: str) -> dict[Assignment, str]:
+        """Return the settled owners; what is being released is left alone until it is free."""
+        return {
+            grant.assignment: grant.server
+            for grant in self.coordinator.grants.grants.values()
+            if grant.assignment.pool == pool and grant.is_live and not grant.releasing
+        }
+
+    def _candidates(self, pool: str) -> list[Candidate]:
+        return [
+            Candidate(each.server.identity, each.server.slots, self._is_draining(each))
+            for each in self.registry.presences.values()
+            if pool in each.server.pools and self._may_own(each)
+        ]
+
+    def _may_own(self, presence: Presence) -> bool:
+        server = presence.server
+        sessions = self.coordinator.sessions
+        return (
+            presence.state is not ServerState.STARTING
+            and sessions.is_newest(server.identity, server.incarnation)
+            and sessions.live(server.identity, server.incarnation) is not None
+        )
+
+    def _is_draining(self, presence: Presence) -> bool:
+        leaving = presence.state in (ServerState.DRAINING, ServerState.LEAVING)
+        return leaving or presence.server.identity in self.registry.drained
+
+    def _placement(self, pool: Pool) -> Placement:
+        placement = self.placements.get(pool.name)
+        if placement is None:
+            settings = PlacementSettings(
+                hysteresis=HYSTERESIS[pool.favours], moves_per_minute=pool.moves_per_minute
+            )
+            placement = Placement(self.clock, settings)
+            self.placements[pool.name] = placement
+        return placement
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/load_reports.py
@@ -0,0 +1,74 @@
+"""Load of shards, keys and servers as told by the entries of the domain."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass.ownership import Assignment
+
+if TYPE_CHECKING:
+    from medlarpass import Clock
+    from medlarpass.rpc import domain_pb2
+
+#: Age of a peer's report, in seconds, after which it no longer counts.
+STALE_AFTER = 2.0
+
+
+class LoadReports:
+    """Last report of each peer, this entry included.
+
+    :param clock: clock of this process
+    """
+
+    __slots__ = ("clock", "reports")
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.reports: dict[str, tuple[float, domain_pb2.PeerReport]] = {}
+
+    def take(self, report: domain_pb2.PeerReport) -> None:
+        """Replace the report of a peer."""
+        self.reports[report.entry] = (self.clock.now(), report)
+
+    def in_flight(self, server: str, now: float) -> float:
+        """Return the peers' requests in flight at a server.
+
+        :param server: identity of the server
+        :param now: reading of the clock
+        """
+        return sum(
+            load.in_flight
+            for at, report in self.reports.values()
+            if now - at < STALE_AFTER
+            for load in report.loads
+            if load.server == server
+        )
+
+    def of_pool(self, pool: str) -> dict[Assignment, float]:
+        """Return requests a second by assignment.
+
+        :param pool: name of the pool
+        """
+        result: dict[Assignment, float] = {}
+        for report in self._fresh():
+            for shard in report.shard_loads:
+                if shard.pool == pool:
+                    assignment = Assignment(pool, shard.shard)
+                    result[assignment] = result.get(assignment, 0.0) + shard.requests_per_second
+        return result
+
+    def hot_keys(self, pool: str) -> dict[str, float]:
+        """Return requests a second of the hottest keys.
+
+        :param pool: name of the pool
+        """
+        result: dict[str, float] = {}
+        for report in self._fresh():
+            for each in report.hot_keys:
+                if each.pool == pool:
+                    result[each.key] = result.get(each.key, 0.0) + each.requests_per_second
+        return result
+
+    def _fresh(self) -> list[domain_pb2.PeerReport]:
+        oldest = self.clock.now() - STALE_AFTER
+        return [report for at, report in self.reports.values() if at >= oldest]
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/own_loads.py
@@ -0,0 +1,78 @@
+"""Load that this entry sees, as it tells its peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass.ownership import shard_of
+from medlarpass.rpc import domain_pb2
+
+if TYPE_CHECKING:
+    from medlarpass import Clock
+    from medlarpass_daemon.entry.callers import CallersServer
+    from medlarpass_daemon.entry.configuration_store import ConfigurationStore
+
+#: Seconds over which the request rates of shards are measured.
+WINDOW = 1.0
+#: Share of the newest window in the rate; older ones count less and less.
+SMOOTHING = 0.5
+#: Rates below this, in requests a second, are dropped to keep the report small.
+LEAST_RATE = 0.05
+
+
+class OwnLoads:
+    """Request rates of shards and in-flight requests of servers.
+
+    :param store: configuration in force
+    :param clock: clock of this process
+    """
+
+    __slots__ = ("clock", "counts", "rates", "started_at", "store")
+
+    def __init__(self, store: ConfigurationStore, clock: Clock) -> None:
+        self.store = store
+        self.clock = clock
+        self.counts: dict[tuple[str, int], int] = {}
+        self.rates: dict[tuple[str, int], float] = {}
+        self.started_at = clock.now()
+
+    def count(self, pool: str, key: str) -> None:
+        """Count a request for a key.
+
+        :param pool: name of an owned pool
+        :param key: key of the request
+        """
+        shards = self.store.pools[pool].shards
+        shard = (pool, shard_of(pool, key, shards))
+        self.counts[shard] = self.counts.get(shard, 0) + 1
+
+    def fill(self, report: domain_pb2.PeerReport, callers: CallersServer) -> None:
+        """Add the load to a report.
+
+        :param report: report for a peer
+        :param callers: request path of this entry
+        """
+        self._roll()
+        for (pool, shard), rate in self.rates.items():
+            report.shard_loads.append(
+                domain_pb2.ShardLoad(pool=pool, shard=shard, requests_per_second=rate)
+            )
+        for identity, limiter in callers.path.places.limiters.items():
+            if limiter.in_flight:
+                report.loads.append(
+                    domain_pb2.ServerLoad(server=identity, in_flight=limiter.in_flight)
+                )
+
+    def _roll(self) -> None:
+        elapsed = self.clock.now() - self.started_at
+        if elapsed < WINDOW:
+            return
+        shards = self.rates.keys() | self.counts.keys()
+        rates = {
+            shard: (1 - SMOOTHING) * self.rates.get(shard, 0.0)
+            + SMOOTHING * self.counts.get(shard, 0) / elapsed
+            for shard in shards
+        }
+        self.rates = {shard: rate for shard, rate in rates.items() if rate >= LEAST_RATE}
+        self.counts.clear()
+        self.started_at = self.clock.now()
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/events.py
@@ -0,0 +1,11 @@
+"""Log events of the process."""
+
+from __future__ import annotations
+
+from medlarpass import Event
+
+PROCESS_STARTED = Event(1000, "process_started")
+STOP_REQUESTED = Event(1001, "stop_requested")
+STOP_ABANDONED = Event(1002, "stop_abandoned")
+PROCESS_STOPPED = Event(1003, "process_stopped")
+STORAGE_FAILED = Event(1004, "process_storage_failed")
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/http_listener.py
@@ -0,0 +1,44 @@
+"""A plain aiohttp listener for interfaces without streaming."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from medlarpass_daemon.exceptions import ListenError
+
+if TYPE_CHECKING:
+    from medlarpass_daemon.settings import ListenerSettings
+
+#: Seconds that running handlers get when the listener closes.
+SHUTDOWN_TIMEOUT = 5.0
+
+
+class HttpListener:
+    """Serves an aiohttp application on one address.
+
+    :param application: application to serve
+    :param settings: address to listen on
+    """
+
+    __slots__ = ("runner", "settings")
+
+    def __init__(self, application: web.Application, settings: ListenerSettings) -> None:
+        self.runner = web.AppRunner(application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT)
+        self.settings = settings
+
+    async def start(self) -> None:
+        """Listen and serve.
+
+        :raises ListenError: when the address can't be used
+        """
+        await self.runner.setup()
+        try:
+            await web.TCPSite(self.runner, self.settings.ip, self.settings.port).start()
+        except OSError as error:
+            raise ListenError(f"can't listen on {self.settings.endpoint()}: {error}") from error
+
+    async def stop(self) -> None:
+        """Stop listening and wait for running handlers."""
+        await self.runner.cleanup()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/control.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/control.py
@@ -20,7 +20,6 @@
         "data_folder",
         "election_timeout",
         "heartbeat",
-        "join",
         "operators",
         "replicas",
         "snapshot_records",
@@ -29,10 +28,8 @@
     def __init__(self, document: dict[str, Any]) -> None:
         self.operators = ListenerSettings(document["operators"])
         self.data_folder = Path(document["data_folder"])
-        #: Replicas of a new cluster, or the known ones when joining.
+        #: Replicas of a new cluster; used only by ``medlarpassd --initialise``.
         self.replicas = [MemberSettings(replica) for replica in document["replicas"]]
-        #: Join a running cluster as a learner instead of starting a new one.
-        self.join: bool = document["join"]
         self.heartbeat: float = document["heartbeat"]
         #: Least election timeout; the greatest is twice as long.
         self.election_timeout: float = document["election_timeout"]
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/daemon.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/daemon.py
@@ -19,6 +19,7 @@
     """
 
     __slots__ = (
+        "address_translation",
         "control",
         "domain",
         "entry",
@@ -36,6 +37,8 @@
         self.rpc = ListenerSettings(document["rpc"])
         self.platform = ListenerSettings(document["platform"])
         self.security = SecuritySettings(document["security"])
+        #: Addresses of other processes and servers that are reached from here by another one.
+        self.address_translation: dict[str, str] = document["address_translation"]
         roles = document["roles"]
         self.entry = EntrySettings(document["entry"]) if "entry" in roles else None
         self.control = ControlSettings(document["control"]) if "control" in roles else None
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -105,7 +105,6 @@
     vol.Required("operators"): LISTENER,
     vol.Required("data_folder"): text,
     vol.Required("replicas"): listed(MEMBER),
-    vol.Optional("join", default=False): bool,
     vol.Optional("heartbeat", default="100ms"): duration("10ms", "5s"),
     vol.Optional("election_timeout", default="500ms"): duration("50ms", "30s"),
     vol.Optional("snapshot_records", default=10_000): vol.All(int, vol.Range(min=10)),
@@ -122,6 +121,7 @@
             vol.Required("between_processes"): BETWEEN_PROCESSES,
             vol.Optional("operators"): OPERATORS,
         },
+        vol.Optional("address_translation", default=dict): {endpoint: endpoint},
         vol.Optional("entry"): ENTRY,
         vol.Optional("control"): CONTROL,
         vol.Optional("stop", default=dict): {
--- a/packages/medlarpass/src/medlarpass/control/control_state.py
+++ b/packages/medlarpass/src/medlarpass/control/control_state.py
@@ -7,6 +7,7 @@
 
 from medlarpass.control.exceptions import CommandRejectedError
 from medlarpass.ledger import OrderLedger
+from medlarpass.ownership import DelegationTable
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import state_pb2
 from medlarpass.tables import ConfigurationTable
@@ -18,11 +19,12 @@
 class ControlState:
     """Tables, delegations and order ledger, changed only by committed commands."""
 
-    __slots__ = ("applied_index", "ledger", "observers", "tables")
+    __slots__ = ("applied_index", "delegations", "ledger", "observers", "tables")
 
     def __init__(self) -> None:
         self.tables = ConfigurationTable()
         self.ledger = OrderLedger()
+        self.delegations = DelegationTable()
         self.applied_index = 0
         #: Called after each change of the state.
         self.observers: list[Callable[[], None]] = []
@@ -47,7 +49,9 @@
     def snapshot(self) -> bytes:
         """Return the whole state."""
         snapshot = state_pb2.ControlSnapshot(
-            tables=self.tables.snapshot(), ledger=self.ledger.snapshot()
+            tables=self.tables.snapshot(),
+            ledger=self.ledger.snapshot(),
+            delegations=self.delegations.to_bytes(),
         )
         return snapshot.SerializeToString()
 
@@ -56,6 +60,7 @@
         snapshot = state_pb2.ControlSnapshot.FromString(data)
         self.tables = ConfigurationTable.restored(snapshot.tables)
         self.ledger = OrderLedger.restored(snapshot.ledger)
+        self.delegations = DelegationTable.from_bytes(snapshot.delegations)
         self._notify()
 
     def _notify(self) -> None:
@@ -115,3 +120,31 @@
     body: control_pb2.ReleaseOrder, state: ControlState, time_ms: int
 ) -> control_pb2.CommandResult:
     return control_pb2.CommandResult(claim=state.ledger.release(body, time_ms))
+
+
+@apply_body.register
+def _assign_shards(
+    body: control_pb2.AssignShards, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(delegation=state.delegations.apply(body))
+
+
+@apply_body.register
+def _plan_shard_moves(
+    body: control_pb2.PlanShardMoves, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(delegation=state.delegations.apply(body))
+
+
+@apply_body.register
+def _free_shards(
+    body: control_pb2.FreeShards, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(delegation=state.delegations.apply(body))
+
+
+@apply_body.register
+def _renew_epochs(
+    body: control_pb2.RenewEpochs, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(delegation=state.delegations.apply(body))
--- a/packages/medlarpass/src/medlarpass/tables/__init__.py
+++ b/packages/medlarpass/src/medlarpass/tables/__init__.py
@@ -8,8 +8,11 @@
 from medlarpass.tables.exceptions import AmbiguousRouteError
 from medlarpass.tables.exceptions import ChangeIdReusedError
 from medlarpass.tables.exceptions import InvalidDocumentError
+from medlarpass.tables.exceptions import MissingKeyError
 from medlarpass.tables.exceptions import MissingPoolError
 from medlarpass.tables.exceptions import PoolInUseError
+from medlarpass.tables.exceptions import PoolNotOwnedError
+from medlarpass.tables.exceptions import PoolShapeFixedError
 from medlarpass.tables.exceptions import RouteNotFoundError
 from medlarpass.tables.exceptions import TableError
 from medlarpass.tables.exceptions import VersionConflictError
@@ -28,9 +31,12 @@
     "ConfigurationTable",
     "InvalidDocumentError",
     "KeySource",
+    "MissingKeyError",
     "MissingPoolError",
     "Pool",
     "PoolInUseError",
+    "PoolNotOwnedError",
+    "PoolShapeFixedError",
     "RequestClass",
     "Route",
     "RouteMatch",
--- a/packages/medlarpass/src/medlarpass/tables/configuration_table.py
+++ b/packages/medlarpass/src/medlarpass/tables/configuration_table.py
@@ -14,9 +14,12 @@
 from medlarpass.tables.exceptions import InvalidDocumentError
 from medlarpass.tables.exceptions import MissingPoolError
 from medlarpass.tables.exceptions import PoolInUseError
+from medlarpass.tables.exceptions import PoolNotOwnedError
+from medlarpass.tables.exceptions import PoolShapeFixedError
 from medlarpass.tables.exceptions import TableError
 from medlarpass.tables.exceptions import VersionConflictError
 from medlarpass.tables.pool import Pool
+from medlarpass.tables.request_class import RequestClass
 from medlarpass.tables.route import Route
 from medlarpass.tables.route_matcher import RouteMatcher
 
@@ -41,9 +44,9 @@
     def __init__(self) -> None:
         self.revision = 0
         self.items: dict[ItemKey, control_pb2.ConfigurationItem] = {}
-        #: Last versions of deleted items: a name that returns continues from there, so that an
+        #: Last states of deleted items: a name that returns continues from there, so that an
         #: operator with an old version can't change the new item.
-        self.deleted: dict[ItemKey, int] = {}
+        self.deleted: dict[ItemKey, control_pb2.ConfigurationItem] = {}
         self.drained: set[str] = set()
         self.history = ChangeHistory()
         self.audit = AuditTrail()
@@ -154,8 +157,10 @@
             revision=self.revision,
             items=[self.items[key] for key in sorted(self.items)],
             deleted=[
-                state_pb2.DeletedItem(kind=kind, name=name, version=version)
-                for (kind, name), version in sorted(self.deleted.items())
+                state_pb2.DeletedItem(
+                    kind=kind, name=name, version=item.version, document=item.document
+                )
+                for (kind, name), item in sorted(self.deleted.items(), key=lambda pair: pair[0])
             ],
             drained_servers=sorted(self.drained),
             outcomes=self.history.outcomes.values(),
@@ -169,7 +174,12 @@
         table = cls()
         table.revision = snapshot.revision
         table.items = {(item.kind, item.name): item for item in snapshot.items}
-        table.deleted = {(item.kind, item.name): item.version for item in snapshot.deleted}
+        table.deleted = {
+            (item.kind, item.name): control_pb2.ConfigurationItem(
+                kind=item.kind, name=item.name, version=item.version, document=item.document
+            )
+            for item in snapshot.deleted
+        }
         table.drained = set(snapshot.drained_servers)
         table.history.outcomes = {outcome.change_id: outcome for outcome in snapshot.outcomes}
         table.audit.records.extend(snapshot.audit)
@@ -190,6 +200,7 @@
             seen.add(key)
             self._check_version(item)
             documents[key] = _canonical(item) if item.HasField("document") else None
+            self._check_shape(key, documents[key])
         return documents
 
     def _check_version(self, item: control_pb2.ItemChange) -> None:
@@ -202,19 +213,31 @@
         if present is None and not item.HasField("document"):
             raise VersionConflictError(f"{item.name}: there is no such item to delete")
 
+    def _check_shape(self, key: ItemKey, document: str | None) -> None:
+        previous = self.items.get(key) or self.deleted.get(key)
+        kind, name = key
+        if kind != POOL or previous is None or document is None:
+            return
+        old, new = Pool.from_json(name, previous.document), Pool.from_json(name, document)
+        if old.owned != new.owned or (old.owned and old.shards != new.shards):
+            raise PoolShapeFixedError(
+                f"{name}: owned and shards stay {old.owned} and {old.shards}; use another name"
+            )
+
     def _commit(self, documents: Mapping[ItemKey, str | None]) -> None:
         self.revision += 1
         for key, document in documents.items():
             present = self.items.get(key)
             if document is None:
-                self.deleted[key] = self.items.pop(key).version
+                self.deleted[key] = self.items.pop(key)
                 continue
             if present is not None and present.document == document:
                 continue
-            previous = present.version if present else self.deleted.pop(key, 0)
+            previous = present or self.deleted.pop(key, None)
+            version = previous.version + 1 if previous else 1
             kind, name = key
             self.items[key] = control_pb2.ConfigurationItem(
-                kind=kind, name=name, version=previous + 1, document=document
+                kind=kind, name=name, version=version, document=document
             )
 
     def _document(self, key: ItemKey) -> str:
@@ -275,7 +298,11 @@
 
 
 def _check(documents: Mapping[ItemKey, str | None]) -> None:
-    pools = {name for (kind, name), text in documents.items() if kind == POOL and text is not None}
+    pools = {
+        name: Pool.from_json(name, text)
+        for (kind, name), text in documents.items()
+        if kind == POOL and text is not None
+    }
     routes = [
         Route.from_json(name, text)
         for (kind, name), text in documents.items()
@@ -287,6 +314,8 @@
             raise PoolInUseError(f"{route.pool}: still named by route {route.name}")
         if route.pool not in pools:
             raise MissingPoolError(f"{route.name}: pool {route.pool} does not exist")
+        if route.request_class is RequestClass.ENQUIRY and not pools[route.pool].owned:
+            raise PoolNotOwnedError(f"{route.name}: pool {route.pool} has no owners of keys")
     RouteMatcher(routes)
 
 
--- a/packages/medlarpass/src/medlarpass/tables/exceptions.py
+++ b/packages/medlarpass/src/medlarpass/tables/exceptions.py
@@ -33,6 +33,23 @@
     http_status = 409
 
 
+class PoolShapeFixedError(TableError):
+    """Ownership and number of shards of a pool name can't change.
+
+    Entries and servers learn of a change at different moments; with two numbers of shards in use
+    a key would belong to two shards.
+    """
+
+    code = "pool_shape_fixed"
+    http_status = 409
+
+
+class PoolNotOwnedError(TableError):
+    """An enquiry route names a pool whose keys have no owners."""
+
+    code = "pool_not_owned"
+
+
 class AmbiguousRouteError(TableError):
     """Two routes match the same requests equally well."""
 
--- a/packages/medlarpass/tests/tables/test_configuration_table.py
+++ b/packages/medlarpass/tests/tables/test_configuration_table.py
@@ -22,9 +22,8 @@
 
 
 def pool(version: int = 0, name: str = "stock", **fields: object) -> control_pb2.ItemChange:
-    return control_pb2.ItemChange(
-        kind=POOL, name=name, expected_version=version, document=json.dumps(fields)
-    )
+    document = json.dumps({"owned": True, **fields})
+    return control_pb2.ItemChange(kind=POOL, name=name, expected_version=version, document=document)
 
 
 def route(version: int = 0, name: str = "stock", **fields: object) -> control_pb2.ItemChange:
@@ -62,6 +61,9 @@
     ("enquiry without key", [route(1, key=None)], "invalid_document"),
     ("key segment not in path", [route(1, path="/stock/{x}")], "invalid_document"),
     ("bad name", [pool(0, "No Good")], "invalid_document"),
+    ("other number of shards", [pool(1, shards=64)], "pool_shape_fixed"),
+    ("owned pool made free", [pool(1, owned=False)], "pool_shape_fixed"),
+    ("enquiry to a free pool", [pool(0, "x", owned=False), route(1, pool="x")], "pool_not_owned"),
     ("twice in one change", [pool(1), pool(1)], "invalid_document"),
     ("no item", [], "invalid_document"),
 ]
@@ -82,19 +84,20 @@
 def test_exactly_one_of_racing_changes_wins() -> None:
     table = table_with_stock()
     results = [
-        table.apply(change(f"race-{n}", pool(1, shards=100 + n)), 2).status for n in range(5)
+        table.apply(change(f"race-{n}", pool(1, moves_per_minute=100 + n)), 2).status
+        for n in range(5)
     ]
     assert results == [ACCEPTED] + [control_pb2.CHANGE_STATUS_CONFLICT] * 4
 
 
 def test_resent_change_gets_its_first_outcome_also_after_a_snapshot() -> None:
     table = table_with_stock()
-    first = table.apply(change("once", pool(1, shards=64)), 2)
-    table.apply(change("later", pool(2, shards=32)), 3)
+    first = table.apply(change("once", pool(1, moves_per_minute=64)), 2)
+    table.apply(change("later", pool(2, moves_per_minute=32)), 3)
     table = ConfigurationTable.restored(table.snapshot())
-    again = table.apply(change("once", pool(1, shards=64)), 4)
+    again = table.apply(change("once", pool(1, moves_per_minute=64)), 4)
     assert again == first
-    assert json.loads(table.configuration().items[1].document)["shards"] == 32
+    assert json.loads(table.configuration().items[1].document)["moves_per_minute"] == 32
 
 
 def test_change_id_with_other_contents_is_refused() -> None:
@@ -106,6 +109,7 @@
     table = table_with_stock()
     assert table.apply(change("gone", deleted(ROUTE, 1), deleted(POOL, 1)), 2).status == ACCEPTED
     table = ConfigurationTable.restored(table.snapshot())
+    assert table.apply(change("other", pool(shards=8)), 3).code == "pool_shape_fixed"
     assert table.apply(change("back", pool()), 3).status == ACCEPTED
     assert table.configuration().items[0].version == 2
 
--- /dev/null
+++ b/tests/support/http_call.py
@@ -0,0 +1,54 @@
+"""Plain HTTP calls from tests."""
+
+from __future__ import annotations
+
+import http.client
+import json
+
+from typing import Any
+
+from tests.support.ports import LOOPBACK
+
+
+class HttpAnswer:
+    """A whole answer.
+
+    :param status: status code
+    :param headers: headers by lower-case name
+    :param body: the whole body
+    """
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self) -> Any:
+        """Return the parsed body."""
+        return json.loads(self.body)
+
+
+def call(
+    method: str,
+    port: int,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 10.0,
+) -> HttpAnswer | None:
+    """Call a loopback port on a new connection.
+
+    :returns: the answer, or None when there was no whole one
+    """
+    connection = http.client.HTTPConnection(LOOPBACK, port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        fields = {name.lower(): value for name, value in response.getheaders()}
+        return HttpAnswer(response.status, fields, response.read())
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
