Add ownership of keys and the server registry

Change: delegations with epochs, the diskless coordinator lease, sessions, grants with isolated keys, the views of entries and servers, placement with baselines, and the registry of servers. Holders count terms 1% short and grantors 1% long, which covers clocks that each deviate up to 1% from true time.

--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/ownership/ownership_view.py
@@ -0,0 +1,127 @@
+"""What an entry knows about the owners of keys in one failure domain."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass.base import Value
+from medlarpass.ownership.ballot import ballot_key
+from medlarpass.ownership.drift import held_term
+from medlarpass.ownership.exceptions import NoOwnerError
+from medlarpass.ownership.exceptions import ViewStaleError
+from medlarpass.ownership.fence import Fence
+from medlarpass.ownership.shard import Assignment
+from medlarpass.ownership.shard import shard_of
+from medlarpass.rpc import control_pb2
+from medlarpass.rpc import domain_pb2 as pb
+
+if TYPE_CHECKING:
+    from medlarpass.clock import Clock
+
+MILLISECONDS = 1000
+
+
+class Owner(Value):
+    """Owner of a key.
+
+    :param assignment: shard or isolated key that the key belongs to
+    :param server: identity of the owning server
+    :param incarnation: incarnation of the owning server
+    :param fence: fence that the request has to carry
+    """
+
+    __slots__ = ("assignment", "fence", "incarnation", "server")
+
+    def __init__(self, assignment: Assignment, server: str, incarnation: int, fence: Fence) -> None:
+        self.assignment = assignment
+        self.server = server
+        self.incarnation = incarnation
+        self.fence = fence
+
+
+class OwnershipView:
+    """Grants of a domain, and until when each server's session is known to be valid.
+
+    :param clock: clock of this entry
+    """
+
+    __slots__ = ("ballot", "clock", "last_asked_at", "owners", "sessions", "version")
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.ballot = pb.Ballot()
+        self.version = 0
+        self.last_asked_at = float("-inf")
+        self.owners: dict[Assignment, Owner] = {}
+        self.sessions: dict[tuple[str, int], float] = {}
+
+    def apply(self, response: pb.WatchDomainResponse, asked_at: float) -> bool:
+        """Take over an answer of the coordinator.
+
+        :param response: answer to ``WatchDomain``
+        :param asked_at: time before the request was sent, in seconds; sessions count from here
+        :returns: whether the answer was used; one that is older than the view is not
+        """
+        if not response.coordinator or asked_at <= self.last_asked_at:
+            return False
+        offered = (ballot_key(response.ballot), response.version)
+        known = (ballot_key(self.ballot), self.version)
+        if offered < known or (offered != known and not response.grants_included):
+            return False
+        self.last_asked_at = asked_at
+        self.ballot = response.ballot
+        self.version = response.version
+        if response.grants_included:
+            self.owners = {each.assignment: each for each in map(_owner, response.grants)}
+        self.sessions = {
+            (each.identity, each.incarnation): asked_at
+            + held_term(each.session_remaining_ms / MILLISECONDS)
+            for each in response.servers
+            if each.holds_session
+        }
+        return True
+
+    def owner_of(self, pool: str, key: str, shards: int) -> Owner:
+        """Return the owner of a key.
+
+        :param pool: name of the pool
+        :param key: key of the request
+        :param shards: number of shards of the pool
+        :raises NoOwnerError: the key has no owner in this domain
+        :raises ViewStaleError: the owner's session has ended as far as this entry knows
+        """
+        shard = shard_of(pool, key, shards)
+        owner = self.owners.get(Assignment(pool, shard, key))
+        if owner is None:
+            owner = self.owners.get(Assignment(pool, shard))
+        if owner is None:
+            raise NoOwnerError(f"shard {shard} of pool {pool} has no owner in this domain")
+        if not self._has_session(owner):
+            raise ViewStaleError(f"the session of {owner.server} is not known to be valid")
+        return owner
+
+    def is_current(self, owner: Owner, key: str) -> bool:
+        """Tell whether an owner still owned the key when its answer arrived.
+
+        :param owner: result of :meth:`owner_of` before the request was sent
+        :param key: key of the request; it may have been isolated in between
+        """
+        assignment = owner.assignment
+        if assignment.key is None:
+            apart = self.owners.get(Assignment(assignment.pool, assignment.shard, key))
+            if apart is not None and apart.server != owner.server:
+                return False
+        return self.owners.get(assignment) == owner and self._has_session(owner)
+
+    def _has_session(self, owner: Owner) -> bool:
+        until = self.sessions.get((owner.server, owner.incarnation), float("-inf"))
+        return self.clock.now() < until
+
+
+def _owner(item: control_pb2.GrantStatus) -> Owner:
+    return Owner(
+        Assignment(item.pool, item.shard, item.key),
+        item.server,
+        item.incarnation,
+        Fence.from_int(item.fence),
+    )
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/ownership/shard.py
@@ -0,0 +1,48 @@
+"""Shards of a pool, and the assignments that a server can hold."""
+
+from __future__ import annotations
+
+import xxhash
+
+from medlarpass.base import Value
+
+KEY_SEPARATOR = "\0"
+
+
+def shard_of(pool: str, key: str, shards: int) -> int:
+    """Return the shard of a key: xxHash64 (Collet) over pool name and key.
+
+    :param pool: name of the pool
+    :param key: key of the request
+    :param shards: number of shards of the pool, at least 1
+    """
+    text = f"{pool}{KEY_SEPARATOR}{key}"
+    # Keys from HTTP may hold surrogates for bytes that are no UTF-8.
+    return xxhash.xxh64_intdigest(text.encode(errors="surrogatepass")) % shards
+
+
+class Assignment(Value):
+    """What a grant is about: a shard, or a single key that is isolated from its shard.
+
+    :param pool: name of the pool
+    :param shard: number of the shard
+    :param key: isolated key; ``None`` for the shard itself
+    """
+
+    __slots__ = ("key", "pool", "shard")
+
+    def __init__(self, pool: str, shard: int, key: str | None = None) -> None:
+        self.pool = pool
+        self.shard = shard
+        self.key = key or None
+
+    def _fields(self) -> tuple[str, int, str]:
+        return (self.pool, self.shard, self.key or "")
+
+    def __lt__(self, other: Assignment) -> bool:
+        return self._fields() < other._fields()
+
+    @property
+    def whole(self) -> Assignment:
+        """The shard that this assignment is, or is a part of."""
+        return self if self.key is None else Assignment(self.pool, self.shard)
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/registry/__init__.py
@@ -0,0 +1,15 @@
+"""Backend servers known to an entry."""
+
+from __future__ import annotations
+
+from medlarpass.registry.server import Server
+from medlarpass.registry.server import ServerState
+from medlarpass.registry.server_registry import Presence
+from medlarpass.registry.server_registry import ServerRegistry
+
+__all__ = [
+    "Presence",
+    "Server",
+    "ServerRegistry",
+    "ServerState",
+]
