--- a/packages/medlarpass/src/medlarpass/ownership/placement.py
+++ b/packages/medlarpass/src/medlarpass/ownership/placement.py
@@ -143,19 +143,25 @@
         load: Mapping[Assignment, float],
     ) -> None:
         mean = sum(total.values()) / sum(weights.values())
-        for _ in range(self._allowance()):
-            fullest = max(weights, key=lambda name: total[name] / weights[name])
-            if total[fullest] / weights[fullest] <= mean * (1.0 + self.settings.hysteresis):
+        limit = mean * (1.0 + self.settings.hysteresis)
+        allowance = self._allowance()
+        # A server that owns one assignment above the limit cannot be relieved; the others still can.
+        open_servers = set(weights)
+        while allowance > 0 and open_servers:
+            fullest = max(sorted(open_servers), key=lambda name: total[name] / weights[name])
+            if total[fullest] / weights[fullest] <= limit:
                 return
             emptiest = min(weights, key=lambda name: total[name] / weights[name])
             move = self._best_move(owned[fullest], fullest, emptiest, weights, total, load)
             if move is None:
-                return
+                open_servers.discard(fullest)
+                continue
             owned[fullest].remove(move)
             plan[move] = emptiest
             total[fullest] -= load[move]
             total[emptiest] += load[move]
             self.moved_at.append(self.clock.now())
+            allowance -= 1
 
     def _best_move(
         self,
--- /dev/null
+++ b/packages/medlarpass/tests/ownership/test_placement.py
@@ -0,0 +1,144 @@
+"""Guards against imbalance, against needless moves, and against cold or draining servers."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from medlarpass import ManualClock
+from medlarpass.ownership import Assignment
+from medlarpass.ownership import Candidate
+from medlarpass.ownership import Placement
+from medlarpass.ownership import PlacementSettings
+from medlarpass.ownership.placement_baselines import consistent_hashing
+from medlarpass.ownership.placement_baselines import modulo_hashing
+from medlarpass.ownership.placement_baselines import rendezvous_hashing
+
+SHARDS = [Assignment("stock", each) for each in range(256)]
+WARM = PlacementSettings(ramp=0.0, moves_per_minute=10_000)
+
+
+def servers(count: int, slots: int = 3) -> list[Candidate]:
+    return [Candidate(f"s{each:02}", slots) for each in range(count)]
+
+
+def skewed_loads(seed: int) -> dict[Assignment, float]:
+    choice = random.Random(seed)
+    return {each: choice.paretovariate(2.0) for each in SHARDS}
+
+
+def imbalance(
+    owners: dict[Assignment, str], loads: dict[Assignment, float], candidates: list[Candidate]
+) -> float:
+    used = {each.server: 0.0 for each in candidates}
+    for assignment, server in owners.items():
+        used[server] += loads[assignment]
+    ratios = [used[each.server] / each.slots for each in candidates]
+    return max(ratios) / (sum(used.values()) / sum(each.slots for each in candidates))
+
+
+def permitted(loads: dict[Assignment, float], candidates: list[Candidate]) -> float:
+    """Return 1.15, or the ratio that the largest assignment alone causes wherever it is placed."""
+    mean = sum(loads.values()) / sum(each.slots for each in candidates)
+    largest = max(loads.values()) / max(each.slots for each in candidates)
+    return max(1.15, largest / mean + 1e-9)
+
+
+def placed(
+    candidates: list[Candidate],
+    loads: dict[Assignment, float],
+    settings: PlacementSettings = WARM,
+) -> tuple[Placement, ManualClock, dict[Assignment, str]]:
+    clock = ManualClock()
+    placement = Placement(clock, settings)
+    owners = placement.plan(dict.fromkeys(SHARDS), candidates, loads)
+    return placement, clock, owners
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_skewed_loads_stay_within_the_permitted_imbalance(seed: int) -> None:
+    candidates, loads = servers(20), skewed_loads(seed)
+    _, _, owners = placed(candidates, loads)
+    assert imbalance(owners, loads, candidates) <= permitted(loads, candidates)
+
+
+def test_load_is_in_proportion_to_slots() -> None:
+    candidates = [Candidate("small", 2), Candidate("large", 6)]
+    _, _, owners = placed(candidates, {})
+    assert sorted(owners.values()).count("large") == 192
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_lost_server_moves_little_more_than_its_own_shards(seed: int) -> None:
+    candidates, loads = servers(20), skewed_loads(seed)
+    placement, _, owners = placed(candidates, loads)
+    lost = candidates[7].server
+    remaining = [each for each in candidates if each.server != lost]
+    owned = sum(server == lost for server in owners.values())
+    now = {each: None if server == lost else server for each, server in owners.items()}
+    plan = placement.plan(now, remaining, loads)
+    assert owned <= len(plan) <= 1.2 * owned
+    assert imbalance(owners | plan, loads, remaining) <= permitted(loads, remaining)
+
+
+def test_a_balanced_domain_is_left_alone() -> None:
+    candidates, loads = servers(20), skewed_loads(1)
+    placement, _, owners = placed(candidates, loads)
+    wobble = {each: load * (1.0 + 0.02 * (each.shard % 2)) for each, load in loads.items()}
+    assert placement.plan(owners, candidates, wobble) == {}
+
+
+def test_moves_for_balance_are_limited_per_minute() -> None:
+    candidates = servers(4)
+    settings = PlacementSettings(ramp=0.0, moves_per_minute=10)
+    placement, clock, owners = placed(candidates, {}, settings)
+    loads = {each: 10.0 if owners[each] == "s00" else 1.0 for each in SHARDS}
+    assert len(placement.plan(owners, candidates, loads)) == 10
+    assert placement.plan(owners, candidates, loads) == {}
+    clock.advance(61.0)
+    assert len(placement.plan(owners, candidates, loads)) == 10
+
+
+def test_a_draining_server_is_emptied_despite_the_limit() -> None:
+    candidates = servers(4)
+    settings = PlacementSettings(ramp=0.0, moves_per_minute=0)
+    placement, _, owners = placed(candidates, {}, settings)
+    candidates[2].draining = True
+    plan = placement.plan(owners, candidates, {})
+    assert sorted(plan) == sorted(each for each in SHARDS if owners[each] == "s02")
+    assert "s02" not in plan.values()
+
+
+def test_a_new_server_gets_its_share_step_by_step() -> None:
+    settings = PlacementSettings(ramp=10.0, first_weight=0.25, moves_per_minute=1000)
+    placement, clock, owners = placed(servers(4), {}, settings)
+    counts = []
+    for _ in range(12):
+        clock.advance(1.0)
+        owners |= placement.plan(owners, servers(5), {})
+        counts.append(sum(server == "s04" for server in owners.values()))
+    assert counts[0] < 25
+    assert 0 < counts[5] < counts[-1]
+    assert counts == sorted(counts)
+    # The four others keep at most 1.08 times the mean of 51.2 each.
+    assert counts[-1] >= 256 - 4 * 55.3
+
+
+def test_nothing_is_planned_without_servers() -> None:
+    assert Placement(ManualClock(), WARM).plan(dict.fromkeys(SHARDS), [], {}) == {}
+
+
+@pytest.mark.parametrize("place", [modulo_hashing, consistent_hashing, rendezvous_hashing])
+def test_baselines_place_everything_alike_each_time(place) -> None:
+    names = [each.server for each in servers(20)]
+    first = place(SHARDS, names)
+    assert set(first) == set(SHARDS)
+    assert place(SHARDS, list(reversed(names))) == first
+
+
+@pytest.mark.parametrize("place", [consistent_hashing, rendezvous_hashing])
+def test_hashing_baselines_move_only_the_shards_of_a_lost_server(place) -> None:
+    names = [each.server for each in servers(20)]
+    before, after = place(SHARDS, names), place(SHARDS, names[1:])
+    assert all(before[each] == after[each] for each in SHARDS if before[each] != names[0])
--- /dev/null
+++ b/packages/medlarpass/tests/registry/test_server_registry.py
@@ -0,0 +1,162 @@
+"""Guards against work for servers that are silent, drained, leaving or replaced."""
+
+from __future__ import annotations
+
+import pytest
+
+from medlarpass import ManualClock
+from medlarpass.registry import Server
+from medlarpass.registry import ServerRegistry
+from medlarpass.registry import ServerState
+from medlarpass.registry.exceptions import AnnouncementInvalidError
+from medlarpass.rpc import control_pb2 as pb
+
+
+def status(
+    state: str = "ready", incarnation: int = 1, age_ms: int = 0, identity: str = "a", port: int = 80
+) -> pb.ServerStatus:
+    return pb.ServerStatus(
+        identity=identity,
+        incarnation=incarnation,
+        domain="d1",
+        ip="127.0.0.1",
+        port=port,
+        pools=["stock"],
+        slots=3,
+        connections=100,
+        state=state,
+        age_ms=age_ms,
+    )
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock(100.0)
+
+
+@pytest.fixture
+def registry(clock: ManualClock) -> ServerRegistry:
+    return ServerRegistry(clock)
+
+
+def usable(registry: ServerRegistry) -> list[int]:
+    return [each.incarnation for each in registry.usable("stock")]
+
+
+@pytest.mark.parametrize(
+    ("state", "expected"),
+    [("starting", []), ("ready", [1]), ("draining", []), ("leaving", [])],
+)
+def test_only_ready_servers_get_work(
+    registry: ServerRegistry, state: str, expected: list[int]
+) -> None:
+    registry.hear(status(state))
+    assert usable(registry) == expected
+    assert list(registry.usable("other")) == []
+
+
+@pytest.mark.parametrize("state", ["draining", "leaving"])
+def test_late_news_of_a_peer_does_not_undo_a_leave(
+    clock: ManualClock, registry: ServerRegistry, state: str
+) -> None:
+    registry.hear(status(state))
+    for age_ms in (500, 0):
+        registry.hear_from_peer(status("ready", age_ms=age_ms))
+        assert usable(registry) == []
+    clock.advance(1.0)
+    registry.hear(status("ready"))
+    assert usable(registry) == []
+
+
+def test_older_news_of_a_leave_still_counts(registry: ServerRegistry) -> None:
+    """The state only goes forward, so its news is true whatever its age."""
+    registry.hear(status("ready"))
+    registry.hear_from_peer(status("draining", age_ms=900))
+    assert usable(registry) == []
+
+
+def test_a_new_incarnation_replaces_the_old_one(registry: ServerRegistry) -> None:
+    registry.hear(status("leaving", incarnation=1))
+    registry.hear(status("ready", incarnation=2))
+    registry.hear_from_peer(status("ready", incarnation=1))
+    assert usable(registry) == [2]
+
+
+def test_a_silent_server_is_not_used(clock: ManualClock, registry: ServerRegistry) -> None:
+    registry.hear(status())
+    clock.advance(2.9)
+    assert usable(registry) == [1]
+    clock.advance(0.2)
+    assert usable(registry) == []
+    registry.hear(status())
+    assert usable(registry) == [1]
+
+
+def test_news_of_a_peer_keeps_its_age(clock: ManualClock, registry: ServerRegistry) -> None:
+    registry.hear_from_peer(status(age_ms=2500))
+    assert usable(registry) == [1]
+    clock.advance(0.6)
+    assert usable(registry) == []
+
+
+def test_older_news_does_not_change_address_or_presence(
+    clock: ManualClock, registry: ServerRegistry
+) -> None:
+    registry.hear(status(port=81))
+    registry.hear_from_peer(status(port=80, age_ms=2000))
+    clock.advance(2.0)
+    assert [each.port for each in registry.usable("stock")] == [81]
+
+
+def test_drained_servers_get_no_work(registry: ServerRegistry) -> None:
+    registry.hear(status())
+    registry.set_drained(["a"])
+    assert usable(registry) == []
+    registry.set_drained([])
+    assert usable(registry) == [1]
+
+
+def test_peers_are_told_only_what_was_heard_directly(
+    clock: ManualClock, registry: ServerRegistry
+) -> None:
+    registry.hear(status())
+    registry.hear_from_peer(status(identity="b"))
+    clock.advance(0.5)
+    assert registry.heard_directly() == [status(age_ms=500)]
+
+
+def test_a_server_is_forgotten_after_a_long_silence(
+    clock: ManualClock, registry: ServerRegistry
+) -> None:
+    registry.hear(status())
+    clock.advance(601.0)
+    registry.forget_old()
+    assert registry.presences == {}
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("identity", ""),
+        ("ip", ""),
+        ("port", 0),
+        ("port", 70000),
+        ("slots", 0),
+        ("connections", 0),
+        ("state", "tired"),
+    ],
+)
+def test_invalid_announcements_are_refused(
+    registry: ServerRegistry, field: str, value: object
+) -> None:
+    message = status()
+    setattr(message, field, value)
+    with pytest.raises(AnnouncementInvalidError):
+        registry.hear(message)
+    assert registry.presences == {}
+
+
+def test_an_announcement_becomes_a_server() -> None:
+    server = Server.from_proto(status())
+    assert (server.slots, server.pools, server.connections) == (3, ("stock",), 100)
+    assert ServerState.parse("leaving").spelling == "leaving"
