Add the policies of the request path

Cause: the request path needs its decisions as a library without network code. Change: medlarpass.dispatch with balancer and baselines, concurrency limiter, deadline queue, fair share, connection budget, retry budget and policy, ejector with slow start, hot-key sketch, failure detector and agreement of observers. Conclusion: decisions are tested by tables; they are not yet measured against baselines.

--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/dispatch/__init__.py
@@ -0,0 +1,105 @@
+"""Policies of the request path, without network code."""
+
+from __future__ import annotations
+
+from medlarpass.dispatch.arrivals import Arrivals
+from medlarpass.dispatch.attempt import Attempt
+from medlarpass.dispatch.attempt_outcome import AttemptOutcome
+from medlarpass.dispatch.balancer import Balancer
+from medlarpass.dispatch.balancer_baselines import BaselineBalancer
+from medlarpass.dispatch.balancer_baselines import LeastInFlightBalancer
+from medlarpass.dispatch.balancer_baselines import RandomBalancer
+from medlarpass.dispatch.balancer_baselines import RoundRobinBalancer
+from medlarpass.dispatch.balancer_baselines import TwoChoicesBalancer
+from medlarpass.dispatch.candidate import Candidate
+from medlarpass.dispatch.concurrency_limiter import ConcurrencyLimiter
+from medlarpass.dispatch.connection_budget import ConnectionBudget
+from medlarpass.dispatch.deadline_queue import DeadlineQueue
+from medlarpass.dispatch.ejector import Ejector
+from medlarpass.dispatch.ejector import ServerRecord
+from medlarpass.dispatch.exceptions import DeadlineTooCloseError
+from medlarpass.dispatch.exceptions import DispatchError
+from medlarpass.dispatch.exceptions import NoServerError
+from medlarpass.dispatch.exceptions import QueueFullError
+from medlarpass.dispatch.exceptions import UnknownRouteError
+from medlarpass.dispatch.failure_detector import FailureDetector
+from medlarpass.dispatch.fair_share import FairShare
+from medlarpass.dispatch.fair_share import RouteShare
+from medlarpass.dispatch.hot_key_sketch import HotKey
+from medlarpass.dispatch.hot_key_sketch import HotKeyReport
+from medlarpass.dispatch.hot_key_sketch import HotKeySketch
+from medlarpass.dispatch.pause_monitor import PauseMonitor
+from medlarpass.dispatch.peer_loads import PeerLoads
+from medlarpass.dispatch.request_class import RequestClass
+from medlarpass.dispatch.request_kinds import Download
+from medlarpass.dispatch.request_kinds import Enquiry
+from medlarpass.dispatch.request_kinds import Order
+from medlarpass.dispatch.request_kinds import RequestKind
+from medlarpass.dispatch.request_kinds import kind_of
+from medlarpass.dispatch.retry_budget import RetryBudget
+from medlarpass.dispatch.retry_policy import RetryDecision
+from medlarpass.dispatch.retry_policy import RetryPolicy
+from medlarpass.dispatch.server_load import ServerLoad
+from medlarpass.dispatch.settings import BalancerSettings
+from medlarpass.dispatch.settings import DetectorSettings
+from medlarpass.dispatch.settings import EjectorSettings
+from medlarpass.dispatch.settings import LimiterSettings
+from medlarpass.dispatch.settings import QueueSettings
+from medlarpass.dispatch.settings import RetryBudgetSettings
+from medlarpass.dispatch.settings import RetrySettings
+from medlarpass.dispatch.settings import SketchSettings
+from medlarpass.dispatch.slow_start import SlowStart
+from medlarpass.dispatch.suspicion_agreement import ObserverReport
+from medlarpass.dispatch.suspicion_agreement import SuspicionAgreement
+
+__all__ = [
+    "Arrivals",
+    "Attempt",
+    "AttemptOutcome",
+    "Balancer",
+    "BalancerSettings",
+    "BaselineBalancer",
+    "Candidate",
+    "ConcurrencyLimiter",
+    "ConnectionBudget",
+    "DeadlineQueue",
+    "DeadlineTooCloseError",
+    "DetectorSettings",
+    "DispatchError",
+    "Download",
+    "Ejector",
+    "EjectorSettings",
+    "Enquiry",
+    "FailureDetector",
+    "FairShare",
+    "HotKey",
+    "HotKeyReport",
+    "HotKeySketch",
+    "LeastInFlightBalancer",
+    "LimiterSettings",
+    "NoServerError",
+    "ObserverReport",
+    "Order",
+    "PauseMonitor",
+    "PeerLoads",
+    "QueueFullError",
+    "QueueSettings",
+    "RandomBalancer",
+    "RequestClass",
+    "RequestKind",
+    "RetryBudget",
+    "RetryBudgetSettings",
+    "RetryDecision",
+    "RetryPolicy",
+    "RetrySettings",
+    "RoundRobinBalancer",
+    "RouteShare",
+    "ServerLoad",
+    "ServerRecord",
+    "SketchSettings",
+    "SlowStart",
+    "SuspicionAgreement",
+    "TwoChoicesBalancer",
+    "UnknownRouteError",
+    "kind_of",
+]
