--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
@@ -0,0 +1,139 @@
+"""Admission of requests: limits per route and fairness between routes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+from medlarpass.dispatch import FairShare
+from medlarpass.dispatch import RequestClass
+from medlarpass.dispatch import RouteShare
+from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.route_state import RouteState
+
+if TYPE_CHECKING:
+    from medlarpass import Clock
+    from medlarpass.tables import Route
+
+
+class Admission:
+    """Lets requests in, makes them wait by deadline, or refuses them early.
+
+    :param capacity: concurrent requests of all routes
+    :param clock: source of time
+    """
+
+    __slots__ = ("clock", "queued", "routes", "share")
+
+    def __init__(self, capacity: int, clock: Clock) -> None:
+        self.clock = clock
+        self.routes: dict[str, RouteState] = {}
+        self.share = FairShare(capacity, ())
+        self.queued = 0
+
+    def state_of(self, route: Route) -> RouteState:
+        """Return the state of a route, which is created or updated when needed."""
+        state = self.routes.get(route.name)
+        if state is None:
+            state = RouteState(route, self.clock)
+            self.routes[route.name] = state
+            self._reshare()
+        elif state.route is not route:
+            is_reclassed = state.route.request_class is not route.request_class
+            state.update(route)
+            if is_reclassed:
+                self._reshare()
+        return state
+
+    def retain(self, names: frozenset[str]) -> None:
+        """Drop the state of routes that are gone and have no requests.
+
+        :param names: names of the routes in force
+        """
+        gone = [
+            name
+            for name, state in self.routes.items()
+            if name not in names and not state.in_flight and not state.queue
+        ]
+        for name in gone:
+            del self.routes[name]
+        if gone:
+            self._reshare()
+
+    async def enter(self, route: Route, deadline: float) -> RouteState:
+        """Count a request as in flight, at once or after a wait; pair with ``leave``.
+
+        :raises QueueFullError: when too many requests wait
+        :raises DeadlineTooCloseError: when the wait is expected to last too long
+        :raises DeadlineExceededError: when the deadline passed during the wait
+        """
+        state = self.state_of(route)
+        if not state.queue and state.has_room and self.share.try_start(route.name):
+            state.in_flight += 1
+        else:
+            await self._wait(state, deadline)
+        state.retries.budget.request_started()
+        return state
+
+    def leave(self, state: RouteState) -> None:
+        """Count a request as ended and let the next ones in."""
+        state.in_flight -= 1
+        self.share.finished(state.route.name)
+        if self.queued:
+            self._admit_waiting()
+
+    async def _wait(self, state: RouteState, deadline: float) -> None:
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        ticket = state.queue.push(turn, deadline)
+        self.queued += 1
+        try:
+            async with asyncio.timeout(max(deadline - self.clock.now(), 0)):
+                await turn
+        except BaseException as error:
+            if state.queue.remove(ticket) is not None:
+                self.queued -= 1
+            elif turn.done() and not turn.cancelled() and turn.exception() is None:
+                # The turn was given at the same moment; it goes to the next request.
+                self.leave(state)
+            if isinstance(error, TimeoutError):
+                raise DeadlineExceededError("the deadline passed in the queue") from error
+            raise
+
+    def _admit_waiting(self) -> None:
+        while True:
+            ready = [name for name, state in self.routes.items() if state.queue and state.has_room]
+            name = self.share.next_route(ready)
+            if name is None:
+                return
+            self._admit_next(self.routes[name])
+
+    def _admit_next(self, state: RouteState) -> None:
+        for expired in state.queue.pop_expired():
+            self.queued -= 1
+            if not expired.done():
+                expired.set_exception(DeadlineExceededError("the deadline passed in the queue"))
+        turn = state.queue.pop()
+        if turn is None:
+            return
+        self.queued -= 1
+        if turn.done():
+            return
+        self.share.try_start(state.route.name)
+        state.in_flight += 1
+        turn.set_result(None)
+
+    def _reshare(self) -> None:
+        in_flight = self.share.in_flight
+        self.share = FairShare(
+            self.share.capacity,
+            [_share(state.route) for state in self.routes.values()],
+        )
+        for name, count in in_flight.items():
+            if name in self.share.in_flight:
+                self.share.in_flight[name] = count
+
+
+def _share(route: Route) -> RouteShare:
+    # The dispatch package and the tables each declare the classes of requests.
+    return RouteShare(route.name, RequestClass(route.request_class.value))
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -0,0 +1,170 @@
+"""Attempts of a request until one is answered."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from medlarpass import MedlarpassError
+from medlarpass import Outcome
+from medlarpass.dispatch import RequestClass
+from medlarpass.dispatch import RetryDecision
+from medlarpass.dispatch import kind_of
+from medlarpass_daemon.entry.callers import headers
+from medlarpass_daemon.entry.callers.caller_request import CallerRequest
+from medlarpass_daemon.entry.callers.caller_request import EnquiryRequest
+from medlarpass_daemon.entry.callers.delivery import Delivery
+from medlarpass_daemon.entry.callers.exceptions import AnswerLostError
+from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.exceptions import KeyMovedError
+from medlarpass_daemon.entry.callers.exceptions import NoOwnerError
+from medlarpass_daemon.entry.callers.exceptions import OwnerChangedError
+from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
+from medlarpass_daemon.entry.callers.exceptions import ServerUnreachableError
+from medlarpass_daemon.entry.callers.exchange import Exchange
+
+if TYPE_CHECKING:
+    from medlarpass_daemon.entry.callers.interfaces import Target
+    from medlarpass_daemon.entry.callers.place import Place
+    from medlarpass_daemon.entry.callers.request_path import RequestPath
+    from medlarpass_daemon.entry.callers.route_state import RouteState
+
+#: Refusals that mean another server has to be used; they cost a server nearly nothing.
+REROUTING = frozenset({"stale-fence", "not-owner", "draining"})
+#: Bound of attempts that follow a moved key or a draining server.
+MOST_REROUTES = 16
+#: Seconds to wait for the view to follow, when a server refuses a key that the view gives it.
+VIEW_LAG = 0.02
+
+
+async def first_answer(
+    path: RequestPath, request: CallerRequest, state: RouteState, prefetch: int
+) -> Delivery:
+    """Send a request until a server answers it, as far as its class allows.
+
+    :param prefetch: bytes of the body to read before the answer counts as received
+    :raises MedlarpassError: the error of the last attempt
+    """
+    tried: set[str] = set()
+    attempts = 0
+    while True:
+        attempts += 1
+        try:
+            return await _attempt(path, request, tried, prefetch)
+        except MedlarpassError as error:
+            if error.outcome is Outcome.UNKNOWN:
+                request.may_have_run = True
+            if not await _may_retry(path, request, state, error, attempts):
+                raise
+        path.metrics.retries.labels(request.route.name).inc()
+
+
+async def _attempt(
+    path: RequestPath, request: CallerRequest, tried: set[str], prefetch: int
+) -> Delivery:
+    place = await _place(path, request, tried)
+    tried.add(place.target.identity)
+    try:
+        exchange = _exchange(path, request, place.target)
+        answer = await path.client.send(exchange)
+        place.answered()
+        data = await answer.prefetch(prefetch)
+        if not may_pass(request, path, place.target):
+            answer.close()
+            raise OwnerChangedError("the key moved before the answer arrived")
+    except MedlarpassError as error:
+        place.failed(error)
+        raise
+    except BaseException:
+        place.dropped()
+        raise
+    return Delivery(answer, place, data)
+
+
+async def _place(path: RequestPath, request: CallerRequest, tried: set[str]) -> Place:
+    if request.owned_key is None:
+        pool = request.pool.name
+        return await path.places.take(lambda: path.servers.usable(pool), tried, request.deadline)
+    owned = (await _owner(path, request, request.owned_key),)
+    return await path.places.take(lambda: owned, frozenset(), request.deadline)
+
+
+async def _owner(path: RequestPath, request: CallerRequest, key: str) -> Target:
+    while True:
+        try:
+            return path.owners.owner_of(request.pool, key)
+        except NoOwnerError as error:
+            remaining = request.remaining
+            if remaining <= 0:
+                raise DeadlineExceededError("no server owned the key until the deadline") from error
+            await path.owners.wait_for_change(remaining)
+
+
+def _exchange(path: RequestPath, request: CallerRequest, target: Target) -> Exchange:
+    web = request.web
+    passed = headers.to_server(web.headers, request.request_id, web.remote or "unknown", web.scheme)
+    if target.shard is not None and target.fence is not None:
+        passed[headers.SHARD] = str(target.shard)
+        passed[headers.FENCE] = str(target.fence)
+    body = request.body.for_attempt()
+    if request.body.is_streamed and request.body.length is not None:
+        passed["Content-Length"] = str(request.body.length)
+
+    def check() -> None:
+        request.check_caller()
+        key = request.owned_key
+        if key is not None and not path.owners.is_current(request.pool, key, target):
+            raise KeyMovedError("the key moved before the request was sent")
+
+    return Exchange(
+        target,
+        web.method,
+        request.path,
+        passed,
+        body,
+        request.request_id,
+        request.deadline,
+        path.clock,
+        check,
+    )
+
+
+@singledispatch
+def may_pass(request: CallerRequest, path: RequestPath, target: Target) -> bool:
+    """Return whether an answer of the target may be passed to the caller.
+
+    The answer to an order is passed in any case: it tells that the order ran.
+    """
+    return True
+
+
+@may_pass.register(EnquiryRequest)
+def _(request: EnquiryRequest, path: RequestPath, target: Target) -> bool:
+    key = request.owned_key
+    return key is None or path.owners.is_current(request.pool, key, target)
+
+
+async def _may_retry(
+    path: RequestPath,
+    request: CallerRequest,
+    state: RouteState,
+    error: MedlarpassError,
+    attempts: int,
+) -> bool:
+    if not request.body.can_repeat or request.is_gone or request.remaining <= 0:
+        return False
+    if _is_rerouting(error):
+        if request.owned_key is not None and isinstance(error, ServerRefusedError):
+            await path.owners.wait_for_change(min(VIEW_LAG, request.remaining))
+        return attempts < MOST_REROUTES
+    if not isinstance(error, ServerUnreachableError | ServerRefusedError | AnswerLostError):
+        return False
+    kind = kind_of(RequestClass(request.route.request_class.value))
+    decision = state.retries.decide(kind, error.outcome, attempts, request.remaining)
+    return decision is RetryDecision.RETRY
+
+
+def _is_rerouting(error: MedlarpassError) -> bool:
+    if isinstance(error, ServerRefusedError):
+        return error.refusal in REROUTING
+    return isinstance(error, KeyMovedError | OwnerChangedError)
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_request.py
@@ -0,0 +1,118 @@
+"""A caller's request, one class per request class."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from medlarpass.tables import RequestClass
+from medlarpass_daemon.entry.callers.exceptions import CallerGoneError
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from medlarpass import Clock
+    from medlarpass.tables import Pool
+    from medlarpass.tables import Route
+    from medlarpass_daemon.entry.callers.caller_body import CallerBody
+
+
+class CallerRequest:
+    """A request that has a route.
+
+    :param web: the request as received
+    :param request_id: id passed on or created
+    :param path: path with query, as sent by the caller
+    :param route: route of the request
+    :param pool: pool of the route
+    :param key: key of the request, if its route has one
+    :param deadline: reading of the clock when the answer is due
+    :param body: body of the request
+    :param clock: source of time
+    """
+
+    __slots__ = (
+        "body",
+        "clock",
+        "deadline",
+        "is_gone",
+        "key",
+        "may_have_run",
+        "path",
+        "pool",
+        "request_id",
+        "route",
+        "web",
+    )
+    #: Whether the answer is read to its end when the caller is gone.
+    reads_to_end: ClassVar[bool] = False
+
+    def __init__(
+        self,
+        web: web.BaseRequest,
+        request_id: str,
+        path: str,
+        route: Route,
+        pool: Pool,
+        key: str | None,
+        deadline: float,
+        body: CallerBody,
+        clock: Clock,
+    ) -> None:
+        self.web = web
+        self.request_id = request_id
+        self.path = path
+        self.route = route
+        self.pool = pool
+        self.key = key
+        self.deadline = deadline
+        self.body = body
+        self.clock = clock
+        #: Whether the outcome of an attempt is unknown.
+        self.may_have_run = False
+        #: Whether the caller closed its connection.
+        self.is_gone = False
+
+    @property
+    def remaining(self) -> float:
+        """Seconds until the deadline."""
+        return self.deadline - self.clock.now()
+
+    @property
+    def owned_key(self) -> str | None:
+        """The key, when it belongs to one server."""
+        return self.key if self.pool.owned else None
+
+    def check_caller(self) -> None:
+        """Check that somebody still waits for the answer.
+
+        :raises CallerGoneError: when the caller closed its connection
+        """
+        if self.is_gone:
+            raise CallerGoneError("the caller closed its connection")
+
+
+class EnquiryRequest(CallerRequest):
+    """An idempotent request for a key."""
+
+    __slots__ = ()
+
+
+class OrderRequest(CallerRequest):
+    """A request that runs at most once."""
+
+    __slots__ = ()
+    reads_to_end = True
+
+
+class DownloadRequest(CallerRequest):
+    """An idempotent request with a long answer."""
+
+    __slots__ = ()
+
+
+REQUEST_TYPES: dict[RequestClass, type[CallerRequest]] = {
+    RequestClass.ENQUIRY: EnquiryRequest,
+    RequestClass.ORDER: OrderRequest,
+    RequestClass.DOWNLOAD: DownloadRequest,
+}
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -0,0 +1,209 @@
+"""HTTP server for callers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from medlarpass import MedlarpassError
+from medlarpass import Outcome
+
+# Imported for their handlers.
+from medlarpass_daemon.entry.callers import download_flow  # noqa: F401
+from medlarpass_daemon.entry.callers import enquiry_flow  # noqa: F401
+from medlarpass_daemon.entry.callers import headers
+from medlarpass_daemon.entry.callers import order_flow  # noqa: F401
+from medlarpass_daemon.entry.callers.callers_protocol import CallersListener
+from medlarpass_daemon.entry.callers.error_response import error_response
+from medlarpass_daemon.entry.callers.events import UNEXPECTED_ERROR
+from medlarpass_daemon.entry.callers.flow import handle
+from medlarpass_daemon.entry.callers.metrics import CallersMetrics
+from medlarpass_daemon.entry.callers.request_path import RequestPath
+from medlarpass_daemon.entry.callers.request_reader import read_request
+
+if TYPE_CHECKING:
+    from medlarpass import Clock
+    from medlarpass_daemon.entry.callers.interfaces import OrderClaims
+    from medlarpass_daemon.entry.callers.interfaces import OwnerDirectory
+    from medlarpass_daemon.entry.callers.interfaces import PeerLoads
+    from medlarpass_daemon.entry.callers.interfaces import RoutingTable
+    from medlarpass_daemon.entry.callers.interfaces import ServerDirectory
+    from medlarpass_daemon.settings import DaemonSettings
+
+#: Seconds between two looks at what is still in flight.
+FINISH_STEP = 0.05
+#: Route label of requests without route.
+NO_ROUTE = "-"
+
+
+class CallersServer:
+    """Serves callers until it is told to finish.
+
+    :param settings: settings of the process, with the role entry
+    :param routing: configuration in force
+    :param owners: owners of keys
+    :param servers: servers of the pools
+    :param claims: claims of orders
+    :param peer_loads: in-flight requests told by peers
+    :param clock: source of time; counts suspended time
+    :param metrics: metrics of the request path, the process's own by default
+    """
+
+    __slots__ = (
+        "active",
+        "clock",
+        "in_flight",
+        "listener",
+        "metrics",
+        "path",
+        "port",
+        "server",
+        "settings",
+    )
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        routing: RoutingTable,
+        owners: OwnerDirectory,
+        servers: ServerDirectory,
+        claims: OrderClaims,
+        peer_loads: PeerLoads,
+        clock: Clock,
+        metrics: CallersMetrics | None = None,
+    ) -> None:
+        if settings.entry is None:
+            raise ValueError("the settings have no role entry")
+        self.settings = settings.entry
+        self.clock = clock
+        self.metrics = metrics or CallersMetrics()
+        self.path = RequestPath(
+            settings.entry, routing, owners, servers, claims, peer_loads, clock, self.metrics
+        )
+        #: Requests whose answer has not been written as a whole.
+        self.in_flight = 0
+        #: Connections with a request in flight.
+        self.active: set[asyncio.BaseProtocol] = set()
+        self.listener: CallersListener | None = None
+        self.server: asyncio.Server | None = None
+        #: Port that is listened on.
+        self.port = 0
+
+    async def start(self) -> None:
+        """Start to accept callers."""
+        loop = asyncio.get_running_loop()
+        self.listener = CallersListener(self._answer, self.settings.buffer)
+        address = self.settings.callers
+        self.server = await loop.create_server(self.listener, address.ip, address.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; requests on open connections are still answered."""
+        self.path.is_draining = True
+        if self.server is not None:
+            self.server.close()
+
+    async def finish(self, timeout: float) -> bool:
+        """Wait until nothing is in flight, then close all connections.
+
+        :param timeout: seconds after which the rest is cut off
+        :returns: whether everything ended in time
+        """
+        self.stop_accepting()
+        has_finished = await self._wait_until_idle(timeout)
+        self.path.recorder.abandon()
+        for task in list(self.path.orders):
+            task.cancel()
+        if self.listener is not None:
+            await self.listener.shutdown(FINISH_STEP)
+        await self.path.client.close()
+        return has_finished
+
+    @property
+    def has_work(self) -> bool:
+        """Whether a request, an order or the record of one is not finished."""
+        return bool(self.in_flight or self.path.orders or self.path.recorder.tasks)
+
+    async def _wait_until_idle(self, timeout: float) -> bool:
+        limit = asyncio.get_running_loop().time() + timeout
+        idle: set[asyncio.BaseProtocol] = set()
+        while True:
+            idle = self._close_idle(idle)
+            if not self.has_work and not self._connections():
+                return True
+            if asyncio.get_running_loop().time() >= limit:
+                return not self.has_work
+            await asyncio.sleep(FINISH_STEP)
+
+    def _close_idle(self, before: set[asyncio.BaseProtocol]) -> set[asyncio.BaseProtocol]:
+        """Close the connections that were idle at the last look too.
+
+        A request may be on its way on a connection that has just become idle.
+        """
+        idle: set[asyncio.BaseProtocol] = set()
+        for connection in self._connections():
+            if connection in self.active:
+                continue
+            if connection in before:
+                connection.close()
+            idle.add(connection)
+        return idle
+
+    def _connections(self) -> list[web.RequestHandler]:
+        return self.listener.connections if self.listener is not None else []
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        protocol = request.protocol
+        self.in_flight += 1
+        self.active.add(protocol)
+        self.metrics.in_flight.inc()
+        self.metrics.queued.set(self.path.admission.queued)
+        try:
+            response = await self._respond(request)
+            if self.path.is_draining:
+                response.force_close()
+            with contextlib.suppress(ConnectionError):
+                await response.prepare(request)
+                await response.write_eof()
+            return response
+        finally:
+            self.in_flight -= 1
+            self.active.discard(protocol)
+            self.metrics.in_flight.dec()
+
+    async def _respond(self, web_request: web.BaseRequest) -> web.StreamResponse:
+        started_at = self.clock.now()
+        request_id = headers.request_id_of(web_request.headers)
+        request = None
+        outcome = Outcome.UNKNOWN
+        try:
+            request = read_request(web_request, request_id, self.path)
+            response = await handle(request, self.path)
+            if not request.may_have_run:
+                outcome = Outcome.RUN
+            return response
+        except ConnectionError:
+            # The caller is gone; the response only ends the handling of its connection.
+            return web.Response(status=499)
+        except Exception as error:
+            known = _known(error, request_id)
+            may_have_run = request is not None and request.may_have_run
+            self.metrics.refusals.labels(known.code).inc()
+            response = error_response(known, request_id, may_have_run)
+            outcome = Outcome(response.headers[headers.OUTCOME])
+            return response
+        finally:
+            route = request.route.name if request is not None else NO_ROUTE
+            self.metrics.requests.labels(route, outcome.value).inc()
+            self.metrics.latency.labels(route).observe(self.clock.now() - started_at)
+
+
+def _known(error: Exception, request_id: str) -> MedlarpassError:
+    if isinstance(error, MedlarpassError):
+        return error
+    UNEXPECTED_ERROR.log(request_id=request_id, error=repr(error))
+    return MedlarpassError("the request failed for a reason inside the entry")
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/error_response.py
@@ -0,0 +1,43 @@
+"""Errors as answers to callers."""
+
+from __future__ import annotations
+
+import json
+
+from aiohttp import web
+
+from medlarpass import MedlarpassError
+from medlarpass import Outcome
+from medlarpass_daemon.entry.callers import headers
+
+#: Seconds after which a refused caller may try again.
+RETRY_AFTER = 1
+UNAVAILABLE = 503
+
+
+def error_response(
+    error: MedlarpassError, request_id: str, may_have_run: bool = False
+) -> web.Response:
+    """Return the JSON answer for an error.
+
+    :param request_id: id of the request
+    :param may_have_run: whether an earlier attempt of the request may have run
+    """
+    outcome = error.outcome
+    if may_have_run and outcome is Outcome.NOT_RUN:
+        outcome = Outcome.UNKNOWN
+    document = {
+        "code": error.code,
+        "message": error.message,
+        "request_id": request_id,
+        "outcome": outcome.value,
+    }
+    response = web.Response(
+        status=error.http_status,
+        text=json.dumps(document),
+        content_type="application/json",
+        headers={headers.REQUEST_ID: request_id, headers.OUTCOME: outcome.value},
+    )
+    if error.http_status == UNAVAILABLE:
+        response.headers["Retry-After"] = str(RETRY_AFTER)
+    return response
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/events.py
@@ -0,0 +1,9 @@
+"""Log events of the callers' side, numbers 4100 to 4199."""
+
+from __future__ import annotations
+
+from medlarpass import Event
+
+UNEXPECTED_ERROR = Event(4100, "request_failed_unexpectedly")
+CLAIM_UPDATE_DELAYED = Event(4101, "claim_update_delayed")
+ANSWER_ABORTED = Event(4102, "answer_aborted")
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -0,0 +1,107 @@
+"""Errors of the request path, as answered to callers."""
+
+from __future__ import annotations
+
+from medlarpass import MedlarpassError
+from medlarpass import Outcome
+
+
+class CallerError(MedlarpassError):
+    """A request was refused before it reached a server."""
+
+    code = "invalid_request"
+    http_status = 400
+    outcome = Outcome.NOT_RUN
+
+
+class InvalidHeaderError(CallerError):
+    """A header is invalid, too long or contradicts another one."""
+
+    code = "invalid_header"
+
+
+class BodyTooLargeError(CallerError):
+    """The body is above the limit of its route."""
+
+    code = "body_too_large"
+    http_status = 413
+
+
+class BodyIncompleteError(CallerError):
+    """The caller's body broke off."""
+
+    code = "body_incomplete"
+
+
+class CallerGoneError(CallerError):
+    """The caller closed its connection before the request was sent."""
+
+    code = "caller_gone"
+
+
+class NoOwnerError(CallerError):
+    """No server owns the key at present."""
+
+    code = "no_owner"
+    http_status = 503
+
+
+class DeadlineExceededError(CallerError):
+    """The deadline passed before a byte was sent to a server."""
+
+    code = "deadline_exceeded"
+    http_status = 504
+
+
+class DeadlineOutcomeUnknownError(DeadlineExceededError):
+    """The deadline passed after the request may have been sent."""
+
+    outcome = Outcome.UNKNOWN
+
+
+class ServerUnreachableError(CallerError):
+    """No connection to the server could be opened."""
+
+    code = "server_unreachable"
+    http_status = 503
+
+
+class ServerRefusedError(CallerError):
+    """The server refused the request before running it.
+
+    :param refusal: reason given by the server, such as ``shedding``
+    """
+
+    code = "server_refused"
+    http_status = 503
+
+    def __init__(self, refusal: str) -> None:
+        super().__init__(f"the server refused the request before running it: {refusal}")
+        self.refusal = refusal
+
+
+class AnswerLostError(CallerError):
+    """The request may have been sent and no complete answer arrived."""
+
+    code = "answer_lost"
+    http_status = 502
+    outcome = Outcome.UNKNOWN
+
+
+class CrossedAnswerError(AnswerLostError):
+    """The answer carries the id of another request."""
+
+    code = "crossed_answer"
+
+
+class OwnerChangedError(AnswerLostError):
+    """The key moved to another server before the answer arrived; the answer was dropped."""
+
+    code = "owner_changed"
+    http_status = 503
+
+
+class KeyMovedError(NoOwnerError):
+    """The key moved to another server before the request was sent."""
+
+    code = "key_moved"
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exchange.py
@@ -0,0 +1,93 @@
+"""One attempt of a request at one server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass_daemon.entry.callers import headers
+from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterable
+    from collections.abc import Callable
+
+    from multidict import CIMultiDict
+
+    from medlarpass import Clock
+    from medlarpass_daemon.entry.callers.interfaces import Target
+
+
+class Exchange:
+    """A request to a server and how far it got.
+
+    :param target: the server
+    :param method: HTTP method
+    :param path: path with query, as the caller sent it
+    :param passed: headers for the server
+    :param body: the body or its chunks, if there is one
+    :param request_id: id that the answer must carry if the server echoes it
+    :param deadline: reading of the clock when the answer is due
+    :param clock: source of time
+    :param check: raises an error when the request must no longer be sent
+    """
+
+    __slots__ = (
+        "body",
+        "check",
+        "clock",
+        "deadline",
+        "has_connection",
+        "headers",
+        "is_unsent",
+        "method",
+        "path",
+        "request_id",
+        "target",
+    )
+
+    def __init__(
+        self,
+        target: Target,
+        method: str,
+        path: str,
+        passed: CIMultiDict[str],
+        body: bytes | AsyncIterable[bytes] | None,
+        request_id: str,
+        deadline: float,
+        clock: Clock,
+        check: Callable[[], None],
+    ) -> None:
+        self.target = target
+        self.method = method
+        self.path = path
+        self.headers = passed
+        self.body = body
+        self.request_id = request_id
+        self.deadline = deadline
+        self.clock = clock
+        self.check = check
+        #: A connection was handed over for sending, so a second one would be a resend.
+        self.has_connection = False
+        #: The attempt ended while it had no connection: proof that no byte left. Everything that
+        #: is not proven counts as unknown.
+        self.is_unsent = False
+
+    @property
+    def remaining(self) -> float:
+        """Seconds until the deadline."""
+        return self.deadline - self.clock.now()
+
+    def before_sending(self, sent: CIMultiDict[str]) -> None:
+        """Check that the request may be sent now and set its remaining time.
+
+        The wait for a connection or a suspension of the process may have used up the time since
+        the last check.
+
+        :param sent: headers that are about to be written
+        :raises DeadlineExceededError: when the deadline has passed
+        """
+        self.check()
+        remaining = self.remaining
+        if remaining <= 0:
+            raise DeadlineExceededError("the deadline passed before the request was sent")
+        sent[headers.DEADLINE] = str(max(int(remaining * 1000), 1))
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/interfaces.py
@@ -0,0 +1,158 @@
+"""What the request path needs from the rest of the entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from medlarpass import Value
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from medlarpass.rpc import control_pb2
+    from medlarpass.tables import Pool
+    from medlarpass.tables import RouteMatcher
+
+
+class Target(Value):
+    """A server that a request may be sent to.
+
+    :param identity: identity of the server
+    :param incarnation: integer that grows with each start of the server
+    :param ip: IP number
+    :param port: TCP port
+    :param slots: requests the server runs at once
+    :param connections: connections the server accepts from all entries
+    :param shard: shard of the key, for owned keys
+    :param fence: fence of the grant, for owned keys
+    """
+
+    __slots__ = (
+        "connections",
+        "fence",
+        "identity",
+        "incarnation",
+        "ip",
+        "port",
+        "shard",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        identity: str,
+        incarnation: int,
+        ip: str,
+        port: int,
+        slots: int,
+        connections: int,
+        shard: int | None = None,
+        fence: int | None = None,
+    ) -> None:
+        self.identity = identity
+        self.incarnation = incarnation
+        self.ip = ip
+        self.port = port
+        self.slots = slots
+        self.connections = connections
+        self.shard = shard
+        self.fence = fence
+
+
+class RoutingTable(Protocol):
+    """The configuration in force."""
+
+    @property
+    def matcher(self) -> RouteMatcher:
+        """Routes, for matching."""
+        ...
+
+    @property
+    def pools(self) -> Mapping[str, Pool]:
+        """Pools by name."""
+        ...
+
+    @property
+    def revision(self) -> int:
+        """Revision of the configuration; only increases."""
+        ...
+
+
+class OwnerDirectory(Protocol):
+    """The owners of keys, as this entry sees them."""
+
+    def owner_of(self, pool: Pool, key: str) -> Target:
+        """Return the server that owns a key, with shard and fence.
+
+        :raises NoOwnerError: when no server owns the key at present
+        """
+        ...
+
+    def is_current(self, pool: Pool, key: str, target: Target) -> bool:
+        """Return whether the target still owns the key under the same fence."""
+        ...
+
+    async def wait_for_change(self, timeout: float) -> None:
+        """Return after the next change of any owner, or after ``timeout`` seconds."""
+        ...
+
+
+class ServerDirectory(Protocol):
+    """The servers of the pools."""
+
+    def usable(self, pool_name: str) -> Sequence[Target]:
+        """Return the servers that may get new work.
+
+        Draining, leaving and stale servers are never included.
+        """
+        ...
+
+
+class OrderClaims(Protocol):
+    """Claims of orders in the control log.
+
+    All calls may be repeated with the same attempt.
+    """
+
+    async def claim(
+        self, route: str, idempotency_key: str, digest: bytes, attempt: str, deadline: float
+    ) -> control_pb2.ClaimResult:
+        """Claim an order for one attempt.
+
+        :param route: name of the route
+        :param digest: digest of method, path, query and body
+        :param attempt: id of the attempt
+        :param deadline: reading of the clock until which the claim is of use
+        :raises LedgerUnavailableError: when the result could not be confirmed
+        """
+        ...
+
+    async def complete(
+        self, route: str, idempotency_key: str, attempt: str, answer: control_pb2.RecordedAnswer
+    ) -> None:
+        """Record the answer of an order.
+
+        :raises LedgerUnavailableError: when the record could not be confirmed
+        """
+        ...
+
+    async def release(self, route: str, idempotency_key: str, attempt: str) -> None:
+        """Free a claim whose order was not run.
+
+        :raises LedgerUnavailableError: when the release could not be confirmed
+        """
+        ...
+
+
+class PeerLoads(Protocol):
+    """In-flight requests of the other entries of the domain."""
+
+    def in_flight(self, server: str, now: float) -> float:
+        """Return the peers' requests in flight at a server.
+
+        :param server: identity of the server
+        :param now: reading of the clock
+        """
+        ...
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
@@ -0,0 +1,55 @@
+"""Metrics of the request path."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import REGISTRY
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
+#: Upper bounds in seconds; the target is a p99 of 11 ms.
+LATENCY_BUCKETS = (0.001, 0.002, 0.004, 0.007, 0.011, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0)
+
+
+class CallersMetrics:
+    """Counters of requests, refusals and retries, and the latency of requests.
+
+    :param registry: registry of the process, or one of a test
+    """
+
+    __slots__ = ("in_flight", "latency", "queued", "refusals", "requests", "retries")
+
+    def __init__(self, registry: CollectorRegistry = REGISTRY) -> None:
+        self.requests = Counter(
+            "medlarpass_requests",
+            "Requests of callers that ended",
+            ("route", "outcome"),
+            registry=registry,
+        )
+        self.refusals = Counter(
+            "medlarpass_refusals",
+            "Requests that ended with an error of this entry",
+            ("code",),
+            registry=registry,
+        )
+        self.retries = Counter(
+            "medlarpass_retries", "Further attempts at servers", ("route",), registry=registry
+        )
+        self.in_flight = Gauge(
+            "medlarpass_requests_in_flight", "Requests that have not ended", registry=registry
+        )
+        self.queued = Gauge(
+            "medlarpass_requests_queued", "Requests that wait for their turn", registry=registry
+        )
+        self.latency = Histogram(
+            "medlarpass_request_seconds",
+            "Time from the arrival of a request to the end of its answer",
+            ("route",),
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        )
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -0,0 +1,144 @@
+"""Choice of servers and limits per server."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from typing import TYPE_CHECKING
+
+from medlarpass.dispatch import Balancer
+from medlarpass.dispatch import BalancerSettings
+from medlarpass.dispatch import Candidate
+from medlarpass.dispatch import ConcurrencyLimiter
+from medlarpass.dispatch import Ejector
+from medlarpass.dispatch import EjectorSettings
+from medlarpass.dispatch import LimiterSettings
+from medlarpass.dispatch import NoServerError
+from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.place import Place
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+    from collections.abc import Set
+
+    from medlarpass import Clock
+    from medlarpass_daemon.entry.callers.interfaces import PeerLoads
+    from medlarpass_daemon.entry.callers.interfaces import Target
+
+#: Seconds after which a waiting request looks at the servers again: new servers and ended
+#: ejections wake nobody.
+LOOK_AGAIN = 0.05
+
+
+class ServerPlaces:
+    """Hands out places at servers and takes the results of attempts.
+
+    :param peer_loads: in-flight requests told by peers
+    :param clock: source of time
+    """
+
+    __slots__ = ("balancer", "clock", "ejector", "limiters", "peer_loads", "waiting")
+
+    def __init__(self, peer_loads: PeerLoads, clock: Clock) -> None:
+        self.clock = clock
+        self.peer_loads = peer_loads
+        self.balancer = Balancer(BalancerSettings(), clock, random.Random())
+        self.ejector = Ejector(EjectorSettings(), clock)
+        self.limiters: dict[str, ConcurrencyLimiter] = {}
+        self.waiting: dict[str, dict[asyncio.Future[None], None]] = {}
+
+    async def take(
+        self, candidates: Callable[[], Sequence[Target]], tried: Set[str], deadline: float
+    ) -> Place:
+        """Return a place at the best server, waiting for room when all are busy.
+
+        :param candidates: returns the servers that may be chosen at present
+        :param tried: identities that earlier attempts used; avoided while there are others
+        :raises NoServerError: when there is no candidate
+        :raises DeadlineExceededError: when the deadline passed during the wait
+        """
+        while True:
+            targets = candidates()
+            if not targets:
+                raise NoServerError("no server of the pool may get new work")
+            place = self._try(targets, tried)
+            if place is not None:
+                return place
+            remaining = deadline - self.clock.now()
+            if remaining <= 0:
+                raise DeadlineExceededError("the deadline passed while all servers were busy")
+            await self._wait([target.identity for target in targets], min(remaining, LOOK_AGAIN))
+
+    def leave(self, identity: str) -> None:
+        """Let a request that waits for the server look again."""
+        waiting = self.waiting.get(identity)
+        while waiting:
+            turn = next(iter(waiting))
+            del waiting[turn]
+            if not turn.done():
+                turn.set_result(None)
+                return
+
+    def forget(self, identity: str) -> None:
+        """Drop what is known about a server that left."""
+        self.balancer.forget(identity)
+        self.ejector.forget(identity)
+        limiter = self.limiters.get(identity)
+        if limiter is not None and not limiter.in_flight:
+            del self.limiters[identity]
+
+    def _try(self, targets: Sequence[Target], tried: Set[str]) -> Place | None:
+        free = [target for target in targets if self._has_room(target)]
+        untried = [target for target in free if target.identity not in tried]
+        target = self._choose(untried, targets) or self._choose(free, targets)
+        if target is None:
+            return None
+        limiter = self.limiters[target.identity]
+        limiter.try_acquire()
+        return Place(self, target, limiter, frozenset(each.identity for each in targets))
+
+    def _choose(self, free: Sequence[Target], targets: Sequence[Target]) -> Target | None:
+        if not free:
+            return None
+        if len(targets) == 1:
+            # The owner of a key can't be replaced, whatever its health.
+            return free[0]
+        now = self.clock.now()
+        candidates = [
+            Candidate(
+                target.identity,
+                target.slots,
+                self.ejector.weight(target.identity),
+                round(self.peer_loads.in_flight(target.identity, now)),
+            )
+            for target in free
+        ]
+        try:
+            chosen = self.balancer.choose(candidates)
+        except NoServerError:
+            return None
+        return next(target for target in free if target.identity == chosen.identity)
+
+    def _has_room(self, target: Target) -> bool:
+        limiter = self.limiters.get(target.identity)
+        if limiter is None or limiter.slots != target.slots:
+            known = limiter.in_flight if limiter else 0
+            limiter = ConcurrencyLimiter(LimiterSettings(), self.clock, target.slots)
+            limiter.in_flight = known
+            self.limiters[target.identity] = limiter
+        return limiter.in_flight + 1 <= limiter.limit
+
+    async def _wait(self, identities: Sequence[str], timeout: float) -> None:
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        for identity in identities:
+            self.waiting.setdefault(identity, {})[turn] = None
+        try:
+            await asyncio.wait([turn], timeout=timeout)
+        finally:
+            for identity in identities:
+                waiting = self.waiting[identity]
+                waiting.pop(turn, None)
+                if not waiting:
+                    del self.waiting[identity]
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
@@ -0,0 +1,78 @@
+"""What all requests of an entry share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass_daemon.entry.callers.admission import Admission
+from medlarpass_daemon.entry.callers.claim_recorder import ClaimRecorder
+from medlarpass_daemon.entry.callers.places import ServerPlaces
+from medlarpass_daemon.entry.callers.server_client import ServerClient
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from medlarpass import Clock
+    from medlarpass_daemon.entry.callers.interfaces import OrderClaims
+    from medlarpass_daemon.entry.callers.interfaces import OwnerDirectory
+    from medlarpass_daemon.entry.callers.interfaces import PeerLoads
+    from medlarpass_daemon.entry.callers.interfaces import RoutingTable
+    from medlarpass_daemon.entry.callers.interfaces import ServerDirectory
+    from medlarpass_daemon.entry.callers.metrics import CallersMetrics
+    from medlarpass_daemon.settings import EntrySettings
+
+
+class RequestPath:
+    """The parts of the request path.
+
+    :param settings: settings of the entry
+    :param routing: configuration in force
+    :param owners: owners of keys
+    :param servers: servers of the pools
+    :param claims: claims of orders
+    :param peer_loads: in-flight requests told by peers
+    :param clock: source of time
+    :param metrics: metrics of the request path
+    """
+
+    __slots__ = (
+        "admission",
+        "claims",
+        "client",
+        "clock",
+        "is_draining",
+        "metrics",
+        "orders",
+        "owners",
+        "places",
+        "recorder",
+        "routing",
+        "servers",
+        "settings",
+    )
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        routing: RoutingTable,
+        owners: OwnerDirectory,
+        servers: ServerDirectory,
+        claims: OrderClaims,
+        peer_loads: PeerLoads,
+        clock: Clock,
+        metrics: CallersMetrics,
+    ) -> None:
+        self.settings = settings
+        self.routing = routing
+        self.owners = owners
+        self.servers = servers
+        self.claims = claims
+        self.clock = clock
+        self.metrics = metrics
+        self.admission = Admission(settings.concurrency, clock)
+        self.places = ServerPlaces(peer_loads, clock)
+        self.client = ServerClient(settings)
+        self.recorder = ClaimRecorder(claims)
+        #: Orders in flight, which outlive the connection of their caller.
+        self.orders: set[asyncio.Task[object]] = set()
+        self.is_draining = False
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/route_state.py
@@ -0,0 +1,46 @@
+"""What the limits know about one route."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass.dispatch import DeadlineQueue
+from medlarpass.dispatch import QueueSettings
+from medlarpass.dispatch import RetryBudget
+from medlarpass.dispatch import RetryBudgetSettings
+from medlarpass.dispatch import RetryPolicy
+from medlarpass.dispatch import RetrySettings
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from medlarpass import Clock
+    from medlarpass.tables import Route
+
+
+class RouteState:
+    """Requests in flight, waiting requests and the retry budget of a route.
+
+    :param route: the route in force
+    :param clock: source of time
+    """
+
+    __slots__ = ("in_flight", "queue", "retries", "route")
+
+    def __init__(self, route: Route, clock: Clock) -> None:
+        self.route = route
+        self.in_flight = 0
+        self.queue: DeadlineQueue[asyncio.Future[None]] = DeadlineQueue(
+            QueueSettings(limit=route.queue), clock
+        )
+        self.retries = RetryPolicy(RetrySettings(), RetryBudget(RetryBudgetSettings(), clock))
+
+    @property
+    def has_room(self) -> bool:
+        """Whether the route's own limit allows a further request."""
+        return self.in_flight < self.route.concurrency
+
+    def update(self, route: Route) -> None:
+        """Put a newer version of the route in force."""
+        self.route = route
+        self.queue.settings = QueueSettings(limit=route.queue)
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
@@ -0,0 +1,193 @@
+"""Sends exchanges to servers and classifies how they end."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+from aiohttp import DummyCookieJar
+from yarl import URL
+
+from medlarpass import MedlarpassError
+from medlarpass import Outcome
+from medlarpass.dispatch import ConnectionBudget
+from medlarpass_daemon.entry.callers import headers
+from medlarpass_daemon.entry.callers.answer import Answer
+from medlarpass_daemon.entry.callers.connector import EXCHANGE
+from medlarpass_daemon.entry.callers.connector import OneShotConnector
+from medlarpass_daemon.entry.callers.exceptions import AnswerLostError
+from medlarpass_daemon.entry.callers.exceptions import CrossedAnswerError
+from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.exceptions import DeadlineOutcomeUnknownError
+from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
+from medlarpass_daemon.entry.callers.exceptions import ServerUnreachableError
+
+if TYPE_CHECKING:
+    from typing import TypeAlias
+
+    from aiohttp import ClientResponse
+
+    from medlarpass_daemon.entry.callers.exchange import Exchange
+    from medlarpass_daemon.entry.callers.interfaces import Target
+    from medlarpass_daemon.settings import EntrySettings
+
+    Address: TypeAlias = tuple[int, str, int]
+
+#: Seconds to open a connection, which takes about 1 ms; a server that drops packets must leave
+#: time for another one.
+CONNECT_TIMEOUT = 1.0
+#: Seconds an idle connection is kept. It is short because a server that closes it at the moment
+#: of a write leaves an order with an unknown outcome.
+KEEPALIVE = 4.0
+AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+BODYLESS = frozenset({204, 304})
+
+
+class ServerClient:
+    """One session per server.
+
+    :param settings: settings of the entry
+    """
+
+    __slots__ = ("budget", "closing", "sessions", "settings")
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.budget = ConnectionBudget(len(settings.peers))
+        self.sessions: dict[str, tuple[Address, ClientSession]] = {}
+        self.closing: set[asyncio.Task[None]] = set()
+
+    async def send(self, exchange: Exchange) -> Answer:
+        """Send a request and return the answer once its headers have arrived.
+
+        The outcome of the error says what is known about the execution.
+
+        :raises ServerUnreachableError: no connection; not run
+        :raises ServerRefusedError: the server refused before running; not run
+        :raises DeadlineExceededError: the deadline passed before a byte left; not run
+        :raises DeadlineOutcomeUnknownError: the deadline passed later; unknown
+        :raises AnswerLostError: no complete headers arrived; unknown
+        :raises CrossedAnswerError: the answer belongs to another request; unknown
+        """
+        if exchange.remaining <= 0:
+            raise DeadlineExceededError("the deadline passed before the request was sent")
+        session = self._session(exchange.target)
+        token = EXCHANGE.set(exchange)
+        try:
+            async with asyncio.timeout(exchange.remaining) as limit:
+                response = await session.request(
+                    exchange.method,
+                    _url(exchange),
+                    headers=exchange.headers,
+                    data=exchange.body,
+                    allow_redirects=False,
+                )
+        except MedlarpassError:
+            raise
+        except Exception as error:
+            raise _classified(error, exchange, limit.expired()) from error
+        finally:
+            EXCHANGE.reset(token)
+        _check(response, exchange)
+        return Answer(response, exchange)
+
+    def forget(self, identity: str) -> None:
+        """Close the idle connections to a server that left.
+
+        Exchanges in flight go on; their connections close when they end.
+        """
+        known = self.sessions.pop(identity, None)
+        if known is not None:
+            self._retire(known[1])
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for _, session in self.sessions.values():
+            await session.close()
+        self.sessions.clear()
+        for task in list(self.closing):
+            task.cancel()
+        await asyncio.gather(*self.closing, return_exceptions=True)
+
+    def _session(self, target: Target) -> ClientSession:
+        address = (target.incarnation, target.ip, target.port)
+        known = self.sessions.get(target.identity)
+        if known is not None and known[0] == address:
+            return known[1]
+        self.forget(target.identity)
+        session = ClientSession(
+            connector=OneShotConnector(
+                limit=self._limit(target), keepalive_timeout=KEEPALIVE, use_dns_cache=False
+            ),
+            cookie_jar=DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=AUTO_HEADERS,
+            timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
+            trust_env=False,
+            read_bufsize=self.settings.buffer,
+        )
+        self.sessions[target.identity] = (address, session)
+        return session
+
+    def _limit(self, target: Target) -> int:
+        share = self.budget.share(target.connections)
+        return min(self.settings.connections_per_server, share)
+
+    def _retire(self, session: ClientSession) -> None:
+        task = asyncio.get_running_loop().create_task(_close_when_idle(session))
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+
+
+async def _close_when_idle(session: ClientSession) -> None:
+    connector = session.connector
+    assert isinstance(connector, OneShotConnector)
+    try:
+        await connector.wait_until_unused()
+    finally:
+        await session.close()
+
+
+def _url(exchange: Exchange) -> URL:
+    target = exchange.target
+    host = f"[{target.ip}]" if ":" in target.ip else target.ip
+    return URL(f"http://{host}:{target.port}{exchange.path}", encoded=True)
+
+
+def _classified(error: Exception, exchange: Exchange, is_late: bool) -> MedlarpassError:
+    if exchange.is_unsent:
+        if is_late:
+            return DeadlineExceededError("the deadline passed while waiting for a connection")
+        return ServerUnreachableError(f"no connection to {exchange.target.identity}")
+    if is_late:
+        return DeadlineOutcomeUnknownError("the deadline passed before the answer")
+    return AnswerLostError(f"the connection broke before the answer: {type(error).__name__}")
+
+
+def _check(response: ClientResponse, exchange: Exchange) -> None:
+    """Refuse an answer that is not a complete answer to this request.
+
+    An answer that only the end of the connection delimits looks the same when the server is
+    killed in the middle of it.
+    """
+    echoed = response.headers.get(headers.REQUEST_ID)
+    if echoed is not None and echoed != exchange.request_id:
+        response.close()
+        raise CrossedAnswerError("the answer belongs to another request")
+    if response.headers.get(headers.OUTCOME) == Outcome.NOT_RUN.value:
+        refusal = response.headers.get(headers.REFUSAL, "no reason given")
+        response.release()
+        raise ServerRefusedError(refusal)
+    if not _is_framed(response):
+        response.close()
+        raise AnswerLostError("the answer has neither a length nor chunks")
+
+
+def _is_framed(response: ClientResponse) -> bool:
+    if response.method == "HEAD" or response.status in BODYLESS:
+        return True
+    coding = response.headers.get("Transfer-Encoding", "")
+    return "Content-Length" in response.headers or coding.lower() == "chunked"
--- /dev/null
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_server_client.py
@@ -0,0 +1,344 @@
+"""Contract of the client to servers: each attempt is sent once and classified truthfully."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from typing import Any
+
+import pytest
+
+from multidict import CIMultiDict
+
+from medlarpass import MedlarpassError
+from medlarpass import Outcome
+from medlarpass_daemon.entry.callers.exchange import Exchange
+from medlarpass_daemon.entry.callers.server_client import ServerClient
+
+NOT_RUN = Outcome.NOT_RUN
+UNKNOWN = Outcome.UNKNOWN
+
+
+@pytest.fixture
+async def client(kit: Any) -> Any:
+    made = ServerClient(kit.settings_of().entry)
+    yield made
+    await made.close()
+
+
+def exchange_of(
+    world: Any,
+    port: int,
+    method: str = "GET",
+    body: Any = None,
+    request_id: str = "id-1",
+    seconds: float = 10.0,
+) -> Exchange:
+    return Exchange(
+        world.target(port),
+        method,
+        "/x",
+        CIMultiDict({"Host": "x", "Medlarpass-Request-Id": request_id}),
+        body,
+        request_id,
+        world.clock.now() + seconds,
+        world.clock,
+        lambda: None,
+    )
+
+
+async def outcome_of(client: ServerClient, exchange: Exchange) -> tuple[str, Outcome]:
+    """Return code and outcome of an attempt that fails."""
+    with pytest.raises(MedlarpassError) as caught:
+        answer = await client.send(exchange)
+        await answer.prefetch(1 << 20)
+    return caught.value.code, caught.value.outcome
+
+
+async def body_of(client: ServerClient, exchange: Exchange) -> bytes:
+    answer = await client.send(exchange)
+    return await answer.prefetch(1 << 20)
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+FAULTS = {
+    "reset after the request": ("reset", "answer_lost", UNKNOWN),
+    "closed without answer": ((b"", True), "answer_lost", UNKNOWN),
+    "status line cut": ((b"HTTP/1.1 2", True), "answer_lost", UNKNOWN),
+    "headers cut": ((b"HTTP/1.1 200 OK\r\nContent-Le", True), "answer_lost", UNKNOWN),
+    "body cut short of its length": (
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", True),
+        "answer_lost",
+        UNKNOWN,
+    ),
+    "chunks without end": ((CHUNKED + b"4\r\nhalf\r\n", True), "answer_lost", UNKNOWN),
+    "chunk cut": ((CHUNKED + b"9\r\nhalf", True), "answer_lost", UNKNOWN),
+    "neither length nor chunks": (
+        (b"HTTP/1.1 200 OK\r\n\r\nhalf", True),
+        "answer_lost",
+        UNKNOWN,
+    ),
+    "length and chunks": (
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nhalf", True),
+        "answer_lost",
+        UNKNOWN,
+    ),
+    "not HTTP": ((b"220 ready\r\n", True), "answer_lost", UNKNOWN),
+    "switched protocol": (
+        (b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", True),
+        "answer_lost",
+        UNKNOWN,
+    ),
+    "shed": (
+        (
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nMedlarpass-Outcome: not-run\r\n"
+            b"Medlarpass-Refusal: shedding\r\n\r\n",
+            False,
+        ),
+        "server_refused",
+        NOT_RUN,
+    ),
+    "echoed id of another request": (
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nMedlarpass-Request-Id: id-0\r\n\r\n", False),
+        "crossed_answer",
+        UNKNOWN,
+    ),
+    "refusal of another request": (
+        (
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nMedlarpass-Outcome: not-run\r\n"
+            b"Medlarpass-Request-Id: id-0\r\n\r\n",
+            False,
+        ),
+        "crossed_answer",
+        UNKNOWN,
+    ),
+}
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("fault", FAULTS)
+async def test_faults_are_classified(
+    world: Any, kit: Any, client: ServerClient, fault: str, method: str
+) -> None:
+    """Guards against a wrong outcome, and against an incomplete answer taken as complete (G3)."""
+    script, code, outcome = FAULTS[fault]
+    server = await world.server(kit.resetting if script == "reset" else kit.replying(*script))
+    body = b"order" if method == "POST" else None
+    assert await outcome_of(client, exchange_of(world, server.port, method, body)) == (
+        code,
+        outcome,
+    )
+    assert len(server.seen) == 1
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+async def test_request_is_not_resent_when_reused_connection_breaks(
+    world: Any, kit: Any, client: ServerClient, method: str
+) -> None:
+    """Guards against a library that sends a request again by itself (G5)."""
+    server = await world.server(kit.replying(kit.answer()), kit.resetting)
+    await body_of(client, exchange_of(world, server.port))
+    result = await outcome_of(client, exchange_of(world, server.port, method))
+    assert result == ("answer_lost", UNKNOWN)
+    assert (server.connections, len(server.seen)) == (1, 2)
+
+
+async def test_idle_connection_closed_by_server_is_replaced(
+    world: Any, kit: Any, client: ServerClient
+) -> None:
+    """Guards against a request written to a connection that is known to be closed."""
+    server = await world.server(kit.replying(kit.answer(), closes=True))
+    for _ in range(3):
+        assert await body_of(client, exchange_of(world, server.port)) == b"done"
+        await asyncio.sleep(0.02)
+    assert server.connections == 3
+
+
+async def test_refused_connection_is_not_run(world: Any, client: ServerClient) -> None:
+    """Guards against an unknown outcome where no byte can have left."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        port = unused.getsockname()[1]
+        result = await outcome_of(client, exchange_of(world, port, "POST", b"order"))
+    assert result == ("server_unreachable", NOT_RUN)
+
+
+async def test_deadline_while_waiting_for_connection_is_not_run(world: Any, kit: Any) -> None:
+    """Guards against "unknown" for a request that waited for a connection until its deadline."""
+
+    async def hang(request: Any, reader: Any, writer: Any) -> None:
+        await asyncio.sleep(60)
+
+    client = ServerClient(kit.settings_of(connections_per_server=1).entry)
+    server = await world.server(hang)
+    first = asyncio.ensure_future(client.send(exchange_of(world, server.port)))
+    await world.until(lambda: server.seen)
+    result = await outcome_of(client, exchange_of(world, server.port, "POST", seconds=0.05))
+    assert result == ("deadline_exceeded", NOT_RUN)
+    first.cancel()
+    await asyncio.gather(first, return_exceptions=True)
+    await client.close()
+    assert len(server.seen) == 1
+
+
+async def test_deadline_after_sending_is_unknown(world: Any, client: ServerClient) -> None:
+    """Guards against "not run" for a request that a server has."""
+
+    async def hang(request: Any, reader: Any, writer: Any) -> None:
+        await asyncio.sleep(60)
+
+    server = await world.server(hang)
+    result = await outcome_of(client, exchange_of(world, server.port, "POST", b"x", seconds=0.1))
+    assert result == ("deadline_exceeded", UNKNOWN)
+
+
+async def test_deadline_while_sending_is_unknown(world: Any, client: ServerClient) -> None:
+    """Guards against "not run" for a request of which a part was sent."""
+
+    async def endless() -> Any:
+        while True:
+            yield b"x" * 65536
+
+    async def ignore(request: Any, reader: Any, writer: Any) -> None:
+        await asyncio.sleep(60)
+
+    server = await world.server(ignore, reads_body=False)
+    exchange = exchange_of(world, server.port, "POST", endless(), seconds=0.2)
+    assert await outcome_of(client, exchange) == ("deadline_exceeded", UNKNOWN)
+
+
+async def test_reset_while_sending_is_unknown(world: Any, kit: Any, client: ServerClient) -> None:
+    """Guards against "not run" for a request of which a part was sent."""
+
+    async def endless() -> Any:
+        while True:
+            yield b"x" * 65536
+
+    server = await world.server(kit.resetting, reads_body=False)
+    exchange = exchange_of(world, server.port, "POST", endless())
+    assert await outcome_of(client, exchange) == ("answer_lost", UNKNOWN)
+
+
+async def test_suspension_before_sending_is_not_run(
+    world: Any, kit: Any, client: ServerClient
+) -> None:
+    """Guards against an order sent after a suspension that outlasted its deadline (G5)."""
+    server = await world.server()
+    exchange = exchange_of(world, server.port, "POST", b"order")
+
+    def suspended() -> None:
+        world.clock.offset += 3600
+
+    exchange.check = suspended
+    assert await outcome_of(client, exchange) == ("deadline_exceeded", NOT_RUN)
+    await asyncio.sleep(0.05)
+    assert not server.seen
+
+
+async def test_late_answer_does_not_reach_next_request(
+    world: Any, kit: Any, client: ServerClient
+) -> None:
+    """Guards against the answer of a request that timed out reaching the next one (G3)."""
+
+    async def late(request: Any, reader: Any, writer: Any) -> None:
+        await asyncio.sleep(0.15)
+        writer.write(kit.answer(b"late"))
+
+    server = await world.server(late, kit.replying(kit.answer(b"own")))
+    assert (await outcome_of(client, exchange_of(world, server.port, seconds=0.05)))[1] is UNKNOWN
+    for _ in range(10):
+        assert await body_of(client, exchange_of(world, server.port)) == b"own"
+        await asyncio.sleep(0.02)
+
+
+EXTRA = {
+    "second answer": b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign",
+    "headers of a second answer": b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n",
+    "garbage": b"foreign bytes\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.02], ids=["at once", "while idle"])
+@pytest.mark.parametrize("extra", EXTRA)
+async def test_extra_bytes_do_not_poison_next_request(
+    world: Any, kit: Any, client: ServerClient, extra: str, pause: float
+) -> None:
+    """Guards against bytes after an answer being taken for the next answer (G3)."""
+
+    async def behave(request: Any, reader: Any, writer: Any) -> None:
+        data = kit.answer(b"own")
+        if pause:
+            writer.write(data)
+            await asyncio.sleep(pause)
+            data = b""
+        writer.write(data + EXTRA[extra])
+
+    server = await world.server(behave)
+    for number in range(3):
+        exchange = exchange_of(world, server.port, request_id=f"id-{number}")
+        if extra == "garbage" and not pause:
+            # The parser refuses a read as a whole, so the answer before the garbage is lost too.
+            assert await outcome_of(client, exchange) == ("answer_lost", UNKNOWN)
+        else:
+            assert await body_of(client, exchange) == b"own"
+        await asyncio.sleep(2 * pause + 0.01)
+    assert server.connections == 3
+
+
+async def test_connection_is_reused_after_clean_exchange(world: Any, client: ServerClient) -> None:
+    """Guards against a new connection, about 1 ms, for each request."""
+    server = await world.server()
+    for _ in range(5):
+        await body_of(client, exchange_of(world, server.port))
+    assert server.connections == 1
+
+
+async def test_connection_with_unsent_body_is_closed(
+    world: Any, kit: Any, client: ServerClient
+) -> None:
+    """Guards against a request written into the unsent rest of a body."""
+
+    async def endless() -> Any:
+        while True:
+            yield b"x" * 1000
+            await asyncio.sleep(0.01)
+
+    early = kit.replying(kit.answer(b"early"))
+    server = await world.server(early, reads_body=False)
+    exchange = exchange_of(world, server.port, "POST", endless())
+    assert await body_of(client, exchange) == b"early"
+    await asyncio.wait_for(server.broken.wait(), 20)
+
+
+async def test_nothing_is_added_to_request(world: Any, client: ServerClient) -> None:
+    """Guards against headers of the library that change what the server answers."""
+    server = await world.server()
+    await body_of(client, exchange_of(world, server.port))
+    assert sorted(server.seen[0].headers) == [
+        "Host",
+        "Medlarpass-Deadline-Ms",
+        "Medlarpass-Request-Id",
+    ]
+
+
+async def test_proxy_of_environment_is_ignored(
+    world: Any, client: ServerClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that an environment variable diverts."""
+    monkeypatch.setenv("http_proxy", "http://127.0.0.1:9")
+    server = await world.server()
+    assert await body_of(client, exchange_of(world, server.port)) == b"done"
+
+
+async def test_new_incarnation_gets_new_connections(world: Any, client: ServerClient) -> None:
+    """Guards against requests on connections to the process that was replaced."""
+    server = await world.server()
+    first = exchange_of(world, server.port)
+    await body_of(client, first)
+    second = exchange_of(world, server.port)
+    second.target.incarnation = 2
+    await body_of(client, second)
+    assert server.connections == 2
+    await asyncio.wait_for(server.broken.wait(), 20)
