Add the operators' HTTP interface of the control replicas

Cause: operators need one interface to change the tables, drain servers and see the state. Conclusion: the replicated log can be put behind ControlBackend.

--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/drain_calls.py
@@ -0,0 +1,54 @@
+"""Calls that drain servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from medlarpass_daemon.control.operators.body import EMPTY_SCHEMA
+from medlarpass_daemon.control.operators.body import checked_text
+from medlarpass_daemon.control.operators.body import read_body
+from medlarpass_daemon.control.operators.body import server_name
+from medlarpass_daemon.control.operators.query import Query
+
+if TYPE_CHECKING:
+    from medlarpass_daemon.control.operators.interfaces import ControlBackend
+    from medlarpass_daemon.control.operators.proposer import Proposer
+
+
+class DrainCalls:
+    """``/v1/drains``.
+
+    :param backend: replicated log
+    :param proposer: proposes changes
+    """
+
+    def __init__(self, backend: ControlBackend, proposer: Proposer) -> None:
+        self.backend = backend
+        self.proposer = proposer
+
+    def add_to(self, router: web.UrlDispatcher) -> None:
+        """Add the calls to a router."""
+        router.add_get("/v1/drains", self.list_drains)
+        router.add_put("/v1/drains/{server}", self.drain)
+        router.add_delete("/v1/drains/{server}", self.undrain)
+
+    async def list_drains(self, request: web.Request) -> web.Response:
+        """Return the drained servers."""
+        query = Query(request, "stale")
+        state = await self.backend.read_state(stale=query.flag("stale"))
+        return web.json_response({"servers": sorted(state.tables.drained)})
+
+    async def drain(self, request: web.Request) -> web.Response:
+        """Drain a server; it need not have announced itself yet."""
+        return await self._set(request, drained=True)
+
+    async def undrain(self, request: web.Request) -> web.Response:
+        """End the drain of a server."""
+        return await self._set(request, drained=False)
+
+    async def _set(self, request: web.Request, drained: bool) -> web.Response:
+        server = checked_text(server_name, "server", request.match_info["server"])
+        body = await read_body(request, EMPTY_SCHEMA)
+        return await self.proposer.set_drain(request, body["change_id"], server, drained)
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/exceptions.py
@@ -0,0 +1,100 @@
+"""Errors of the operators' interface."""
+
+from __future__ import annotations
+
+from medlarpass.exceptions import MedlarpassError
+from medlarpass.outcome import Outcome
+
+
+class OperatorCallError(MedlarpassError):
+    """A call of an operator was refused."""
+
+    code = "operator_call_refused"
+    http_status = 400
+    outcome = Outcome.NOT_RUN
+
+
+class InvalidCallError(OperatorCallError):
+    """The call has malformed JSON, an unknown key, a wrong type or a value out of bounds."""
+
+    code = "invalid_call"
+
+
+class CallTooLargeError(OperatorCallError):
+    """The body or a document of the call is above its bound."""
+
+    code = "call_too_large"
+    http_status = 413
+
+
+class UnauthenticatedError(OperatorCallError):
+    """The call has no bearer token, or one that the token file does not list."""
+
+    code = "unauthenticated"
+    http_status = 401
+
+
+class ForbiddenError(OperatorCallError):
+    """The token has no right to change anything."""
+
+    code = "forbidden"
+    http_status = 403
+
+
+class ItemNotFoundError(OperatorCallError):
+    """There is no route or pool of that name."""
+
+    code = "item_not_found"
+    http_status = 404
+
+
+class UnknownCallError(OperatorCallError):
+    """The interface has no such path."""
+
+    code = "unknown_call"
+    http_status = 404
+
+
+class MethodNotAllowedError(OperatorCallError):
+    """The path does not take this method."""
+
+    code = "method_not_allowed"
+    http_status = 405
+
+
+class NotLeaderError(OperatorCallError):
+    """The replica is not the leader and could not pass the call to it."""
+
+    code = "not_leader"
+    http_status = 503
+
+
+class ControlUnavailableError(OperatorCallError):
+    """The control replicas have no majority or no leader."""
+
+    code = "control_unavailable"
+    http_status = 503
+
+
+class UnknownResultError(OperatorCallError):
+    """The change was proposed, but its result is not known; resend it with the same change id."""
+
+    code = "unknown_result"
+    http_status = 504
+    outcome = Outcome.UNKNOWN
+
+
+class TokenFileError(OperatorCallError):
+    """The token file can't be used.
+
+    :param file: path of the token file
+    :param expected: what was expected there
+    """
+
+    code = "invalid_token_file"
+    http_status = 500
+
+    def __init__(self, file: str, expected: str) -> None:
+        super().__init__(f"{file}: {expected}")
+        self.file = file
+        self.expected = expected
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/proposer.py
@@ -0,0 +1,108 @@
+"""Proposes changes in the name of the author of a call."""
+
+from __future__ import annotations
+
+import uuid
+
+from typing import TYPE_CHECKING
+
+from medlarpass import MedlarpassError
+from medlarpass.rpc import control_pb2
+from medlarpass_daemon.control.operators.answers import change_answer
+from medlarpass_daemon.control.operators.events import AUDIT_FAILED
+from medlarpass_daemon.control.operators.exceptions import ControlUnavailableError
+from medlarpass_daemon.control.operators.middlewares import PRINCIPAL
+from medlarpass_daemon.control.operators.middlewares import REQUEST_ID
+from medlarpass_daemon.control.operators.middlewares import source_of
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Sequence
+
+    from aiohttp import web
+
+    from medlarpass_daemon.control.operators.interfaces import ControlBackend
+
+
+class Proposer:
+    """Turns checked calls into commands.
+
+    :param backend: replicated log
+    """
+
+    def __init__(self, backend: ControlBackend) -> None:
+        self.backend = backend
+
+    async def apply_change(
+        self, request: web.Request, change_id: str, items: Sequence[control_pb2.ItemChange]
+    ) -> web.Response:
+        """Propose a change of the tables and return its answer."""
+        command = control_pb2.Command(
+            command_id=uuid.uuid4().hex,
+            apply_change=control_pb2.ApplyChange(
+                change_id=change_id,
+                author=request[PRINCIPAL].name,
+                source=source_of(request),
+                items=items,
+            ),
+        )
+        return await self._proposed(request, change_id, command)
+
+    async def set_drain(
+        self, request: web.Request, change_id: str, server: str, drained: bool
+    ) -> web.Response:
+        """Propose the drain of a server or its end and return the answer."""
+        command = control_pb2.Command(
+            command_id=uuid.uuid4().hex,
+            set_drain=control_pb2.SetDrain(
+                change_id=change_id,
+                author=request[PRINCIPAL].name,
+                source=source_of(request),
+                server=server,
+                drained=drained,
+            ),
+        )
+        return await self._proposed(request, change_id, command)
+
+    async def audited(
+        self, request: web.Request, change_id: str, summary: str, change: Awaitable[None]
+    ) -> None:
+        """Run a change of the membership and audit its outcome.
+
+        The membership is not part of the tables, so its audit record is a command of its own. A
+        record that can't be written is logged and does not change the outcome.
+
+        :param summary: action for the audit trail
+        :param change: the call of the backend
+        """
+        try:
+            await change
+        except MedlarpassError as error:
+            await self._audit(request, change_id, summary, error.code)
+            raise
+        await self._audit(request, change_id, summary, "accepted")
+
+    async def _proposed(
+        self, request: web.Request, change_id: str, command: control_pb2.Command
+    ) -> web.Response:
+        result = await self.backend.propose(command)
+        return change_answer(change_id, result.change, request[REQUEST_ID])
+
+    async def _audit(self, request: web.Request, change_id: str, summary: str, code: str) -> None:
+        if code == ControlUnavailableError.code:
+            # The record would wait for the same majority.
+            return
+        record = control_pb2.RecordRefusal(
+            change_id=change_id,
+            author=request[PRINCIPAL].name,
+            source=source_of(request),
+            summary=summary,
+            code=code,
+        )
+        command = control_pb2.Command(command_id=uuid.uuid4().hex, record_refusal=record)
+        try:
+            await self.backend.propose(command)
+        except MedlarpassError as error:
+            AUDIT_FAILED.log(
+                author=record.author, call=summary, code=error.code, refused=code != "accepted"
+            )
--- /dev/null
+++ b/packages/medlarpass-daemon/tests/control/operators/test_operator_calls.py
@@ -0,0 +1,237 @@
+"""Guards against changed answers of the operators' calls and against lost or doubled changes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from operators_fakes import STOCK_POOL
+from operators_fakes import STOCK_ROUTE
+from operators_fakes import unavailable
+from operators_fakes import unknown
+
+from medlarpass_daemon.control.operators import NotLeaderError
+
+BOTH = {
+    "items": [
+        {"kind": "pool", "name": "stock", "expected_version": 0, "document": STOCK_POOL},
+        {"kind": "route", "name": "stock", "expected_version": 0, "document": STOCK_ROUTE},
+    ]
+}
+PUT_POOL = {"expected_version": 0, "document": STOCK_POOL}
+
+
+async def test_one_change_creates_both_tables(call, backend) -> None:
+    answer = await call("POST", "/v1/changes", BOTH, "c1")
+    assert answer.status == 200
+    assert answer.body["status"] == "accepted"
+    assert answer.body["revision"] == 1
+    assert [item["version"] for item in answer.body["items"]] == [1, 1]
+    listed = await call("GET", "/v1/routes")
+    assert [item["name"] for item in listed.body["items"]] == ["stock"]
+    shown = await call("GET", "/v1/pools/stock")
+    assert shown.body["version"] == 1
+    assert shown.body["document"]["shards"] == 16
+
+
+async def test_put_and_delete_need_the_present_version(call, backend) -> None:
+    assert (await call("PUT", "/v1/pools/stock", PUT_POOL, "c1")).status == 200
+    changed = {"expected_version": 1, "document": {"shards": 32}}
+    answer = await call("PUT", "/v1/pools/stock", changed, "c2")
+    assert answer.body["items"][0]["version"] == 2
+    old = await call("DELETE", "/v1/pools/stock", {"expected_version": 1}, "c3")
+    assert (old.status, old.body["code"]) == (409, "version_conflict")
+    assert old.body["items"][0]["version"] == 2
+    assert old.headers["Medlarpass-Outcome"] == "not-run"
+    gone = await call("DELETE", "/v1/pools/stock", {"expected_version": 2}, "c4")
+    assert gone.status == 200
+    missing = await call("GET", "/v1/pools/stock")
+    assert (missing.status, missing.body["code"]) == (404, "item_not_found")
+
+
+async def test_of_racing_changes_exactly_one_is_accepted(call, backend) -> None:
+    answers = await asyncio.gather(
+        *(call("PUT", "/v1/pools/stock", PUT_POOL, f"race-{number}") for number in range(8))
+    )
+    assert sorted(answer.status for answer in answers) == [200] + [409] * 7
+    assert backend.state.tables.revision == 1
+    assert len(backend.state.tables.audit.records) == 8
+
+
+async def test_resend_after_a_lost_answer_gets_the_first_outcome(call, backend) -> None:
+    backend.failures = [unknown()]
+    lost = await call("PUT", "/v1/pools/stock", PUT_POOL, "c1")
+    assert (lost.status, lost.body["outcome"]) == (504, "unknown")
+    assert lost.headers["Medlarpass-Outcome"] == "unknown"
+    await call("PUT", "/v1/pools/stock", {"expected_version": 1, "document": {}}, "c2")
+    again = await call("PUT", "/v1/pools/stock", PUT_POOL, "c1")
+    assert (again.status, again.body["revision"]) == (200, 1)
+    assert backend.state.tables.revision == 2
+
+
+async def test_resend_of_a_refused_change_stays_refused(call, backend) -> None:
+    first = await call("PUT", "/v1/routes/stock", {**PUT_POOL, "document": STOCK_ROUTE}, "c1")
+    assert first.body["code"] == "missing_pool"
+    await call("PUT", "/v1/pools/stock", PUT_POOL, "c2")
+    again = await call("PUT", "/v1/routes/stock", {**PUT_POOL, "document": STOCK_ROUTE}, "c1")
+    assert (again.status, again.body["code"]) == (400, "missing_pool")
+
+
+async def test_change_id_of_another_change_is_refused(call) -> None:
+    await call("PUT", "/v1/pools/stock", PUT_POOL, "c1")
+    other = await call("PUT", "/v1/pools/tags", PUT_POOL, "c1")
+    assert (other.status, other.body["code"]) == (409, "change_id_reused")
+
+
+@pytest.mark.parametrize(
+    ("failure", "status", "code", "outcome"),
+    [
+        (NotLeaderError("no way to the leader"), 503, "not_leader", "not-run"),
+        (unavailable(), 503, "control_unavailable", "not-run"),
+        (unknown(), 504, "unknown_result", "unknown"),
+    ],
+    ids=["not leader", "no majority", "unknown result"],
+)
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        ("PUT", "/v1/pools/stock", PUT_POOL),
+        ("DELETE", "/v1/pools/stock", {"expected_version": 0}),
+        ("POST", "/v1/changes", BOTH),
+        ("PUT", "/v1/drains/stock-1", None),
+        ("DELETE", "/v1/drains/stock-1", None),
+        (
+            "POST",
+            "/v1/replicas",
+            {"name": "control-9", "domain": "north", "address": "127.0.0.1:1"},
+        ),
+        (
+            "PUT",
+            "/v1/replicas/r1",
+            {"name": "control-9", "domain": "north", "address": "127.0.0.1:1"},
+        ),
+        ("DELETE", "/v1/replicas/r1", None),
+    ],
+)
+async def test_failures_of_the_log_reach_the_operator(
+    call, backend, method, path, body, failure, status, code, outcome
+) -> None:
+    backend.failures = [failure]
+    answer = await call(method, path, body, "c1")
+    assert (answer.status, answer.body["code"]) == (status, code)
+    assert answer.body["outcome"] == answer.headers["Medlarpass-Outcome"] == outcome
+    assert answer.body["request_id"]
+
+
+@pytest.mark.parametrize(
+    "path", ["/v1/routes", "/v1/pools/stock", "/v1/in-force", "/v1/drains", "/v1/audit"]
+)
+async def test_reads_need_a_majority_unless_stale_is_allowed(call, backend, path) -> None:
+    await call("POST", "/v1/changes", BOTH, "c1")
+    backend.read_failure = unavailable()
+    refused = await call("GET", path)
+    assert (refused.status, refused.body["code"]) == (503, "control_unavailable")
+    assert (await call("GET", f"{path}?stale=true")).status == 200
+
+
+async def test_drain_shows_in_servers_and_drains(call) -> None:
+    assert (await call("PUT", "/v1/drains/stock-1", None, "d1")).status == 200
+    servers = (await call("GET", "/v1/servers")).body["servers"]
+    assert [(server["identity"], server["drained"]) for server in servers] == [("stock-1", True)]
+    assert (await call("GET", "/v1/drains")).body == {"servers": ["stock-1"]}
+    assert (await call("DELETE", "/v1/drains/stock-1", None, "d2")).status == 200
+    assert (await call("GET", "/v1/drains")).body == {"servers": []}
+
+
+async def test_in_force_names_each_place_and_the_accepted_revision(call) -> None:
+    await call("POST", "/v1/changes", BOTH, "c1")
+    answer = await call("GET", "/v1/in-force")
+    assert answer.body == {
+        "revision": 1,
+        "places": [{"place": "entry-1", "domain": "north", "revision": 1, "age_ms": 40}],
+    }
+
+
+async def test_grants_are_filtered_and_fences_keep_64_bits(call) -> None:
+    assert len((await call("GET", "/v1/grants")).body["grants"]) == 2
+    grants = (await call("GET", "/v1/grants?pool=stock&server=stock-1")).body["grants"]
+    assert [(grant["shard"], grant["fence"]) for grant in grants] == [(3, "1000000000000000")]
+
+
+async def test_domains_are_summed_up(call) -> None:
+    domains = (await call("GET", "/v1/domains")).body["domains"]
+    assert [(item["domain"], item["servers"], item["grants"]) for item in domains] == [
+        ("north", 1, 2)
+    ]
+
+
+async def test_replicas_are_changed_and_audited(call, backend) -> None:
+    new = {"name": "control-9", "domain": "east", "address": "127.0.0.1:7009"}
+    assert (await call("POST", "/v1/replicas", new, "m1")).body["status"] == "accepted"
+    assert (await call("POST", "/v1/replicas", new, "m1")).status == 200
+    assert (await call("DELETE", "/v1/replicas/r9", None, "m2")).status == 200
+    assert (await call("PUT", "/v1/replicas/r2", new, "m3")).status == 200
+    replicas = (await call("GET", "/v1/replicas")).body["replicas"]
+    assert [replica["name"] for replica in replicas] == ["control-1", "control-9"]
+    assert replicas[0]["status"]["role"] == "leader"
+    assert replicas[1]["status"] is None
+    audit = [(record.change_id, record.outcome) for record in backend.state.tables.audit.records]
+    assert audit == [
+        ("m1", "accepted"),
+        ("m1", "accepted"),
+        ("m2", "accepted"),
+        ("m3", "accepted"),
+    ]
+
+
+async def test_audit_trail_is_read_page_by_page(call) -> None:
+    for number in range(5):
+        await call("PUT", f"/v1/drains/stock-{number}", None, f"d{number}")
+    first = (await call("GET", "/v1/audit?limit=2")).body
+    assert [record["number"] for record in first["records"]] == [1, 2]
+    assert (first["next"], first["oldest"], first["count"]) == (2, 1, 5)
+    rest = (await call("GET", "/v1/audit?after=2")).body
+    assert [record["change_id"] for record in rest["records"]] == ["d2", "d3", "d4"]
+    record = rest["records"][0]
+    assert (record["author"], record["source"]) == ("amina", "127.0.0.1")
+    assert (record["before"], record["after"]) == ("in use", "drained")
+
+
+async def test_unexpected_error_is_answered_as_unknown(call, backend) -> None:
+    backend.failures = [RuntimeError("fault in the backend")]
+    answer = await call("PUT", "/v1/pools/stock", PUT_POOL, "c1")
+    assert (answer.status, answer.body["code"]) == (500, "internal_error")
+    assert answer.body["outcome"] == "unknown"
+    assert "fault" not in answer.body["message"]
+
+
+async def test_stop_finishes_the_change_in_flight(backend, tmp_path) -> None:
+    import aiohttp
+
+    from operators_fakes import daemon_settings
+
+    from medlarpass_daemon.control.operators import OperatorsServer
+
+    entered = asyncio.Event()
+    proceed = asyncio.Event()
+    propose = backend.propose
+
+    async def slow(command):
+        entered.set()
+        await proceed.wait()
+        return await propose(command)
+
+    backend.propose = slow
+    server = OperatorsServer(daemon_settings(tmp_path), backend)
+    await server.start()
+    url = f"http://127.0.0.1:{server.port}/v1/drains/stock-1"
+    async with aiohttp.ClientSession() as session:
+        request = asyncio.create_task(session.put(url, headers={"Idempotency-Key": "d1"}))
+        await entered.wait()
+        stop = asyncio.create_task(server.stop())
+        await asyncio.sleep(0)
+        proceed.set()
+        answer = await request
+        assert answer.status == 200
+        await stop
