Add the operators' program

Cause: operators and their scripts need one program with stable exit statuses. Seen on the way: the client of aiohttp repeats PUT and DELETE once by itself when a connection is lost, also on a new connection. Conclusion: resending is harmless here because of the change id; the entry must not rely on it.

--- /dev/null
+++ b/packages/medlarpass-cli/src/medlarpass_cli/commands/replace_replica.py
@@ -0,0 +1,45 @@
+"""Command ``replace-replica``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from medlarpass_cli.command import add_change_id
+from medlarpass_cli.command import change_id_of
+
+if TYPE_CHECKING:
+    import argparse
+
+    from medlarpass_cli.command import Context
+
+
+class ReplaceReplica:
+    """Replaces a replica, for example one whose disk was lost."""
+
+    name = "replace-replica"
+    summary = "replace a replica of the control log"
+    examples = (
+        "medlarpass --control http://127.0.0.1:7400 replace-replica 5f1c9e control-6 "
+        "--domain north --address 127.0.0.1:7106"
+    )
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the arguments of the command."""
+        parser.add_argument("identity", metavar="IDENTITY", help="identity shown by replicas")
+        parser.add_argument("replica", metavar="NAME", help="name of the new replica")
+        parser.add_argument("--domain", required=True, help="failure domain of the new replica")
+        parser.add_argument("--address", required=True, metavar="IP:PORT", help="its gRPC listener")
+        add_change_id(parser)
+
+    async def run(self, context: Context) -> None:
+        """Send the change."""
+        arguments = context.arguments
+        body = {
+            "name": arguments.replica,
+            "domain": arguments.domain,
+            "address": arguments.address,
+        }
+        path = f"/v1/replicas/{quote(arguments.identity, safe='')}"
+        answer = await context.client().change("PUT", path, body, change_id_of(arguments))
+        context.output.line(f"replacing {arguments.identity} by {arguments.replica}", answer)
--- /dev/null
+++ b/packages/medlarpass-cli/src/medlarpass_cli/commands/undrain.py
@@ -0,0 +1,34 @@
+"""Command ``undrain``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from medlarpass_cli.command import add_change_id
+from medlarpass_cli.command import change_id_of
+
+if TYPE_CHECKING:
+    import argparse
+
+    from medlarpass_cli.command import Context
+
+
+class Undrain:
+    """Ends the drain of a server."""
+
+    name = "undrain"
+    summary = "end the drain of a server"
+    examples = "medlarpass --control http://127.0.0.1:7400 undrain stock-3"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the arguments of the command."""
+        parser.add_argument("server", metavar="IDENTITY")
+        add_change_id(parser)
+
+    async def run(self, context: Context) -> None:
+        """Send the change."""
+        arguments = context.arguments
+        path = f"/v1/drains/{quote(arguments.server, safe='')}"
+        answer = await context.client().change("DELETE", path, {}, change_id_of(arguments))
+        context.output.line(f"{arguments.server} is in use", answer)
