--- /dev/null
+++ b/tests/documents/document_rows.py
@@ -0,0 +1,307 @@
+"""Rows of the reference documents, read from the code and from the documents.
+
+Run ``python tests/documents/document_rows.py`` to print the rows that a document lacks, ready to be
+filled in, and those that the code no longer has.
+"""
+
+from __future__ import annotations
+
+import importlib
+import inspect
+import re
+import sys
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeAlias
+
+import voluptuous as vol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+ROOT = Path(__file__).parents[2]
+SOURCES = sorted((ROOT / "packages").glob("*/src"))
+
+#: Cells of a row that the code decides, by the first cell.
+Rows: TypeAlias = dict[str, tuple[str, ...]]
+
+REQUIRED = "required"
+ABSENT = "none"
+NO_BOUNDS = "-"
+
+
+def import_all() -> list[Any]:
+    """Import every module of the packages, by file, so that none is left out."""
+    modules = []
+    for source in SOURCES:
+        for path in sorted(source.rglob("*.py")):
+            parts = list(path.relative_to(source).with_suffix("").parts)
+            if parts[-1].endswith(("_pb2", "_pb2_grpc")):
+                continue
+            if parts[-1] == "__init__":
+                parts.pop()
+            modules.append(importlib.import_module(".".join(parts)))
+    return modules
+
+
+def error_classes() -> list[type[Any]]:
+    """Return every error class of the packages."""
+    from medlarpass import MedlarpassError
+
+    names = {module.__name__ for module in import_all()}
+    found: list[type[Any]] = []
+    waiting: list[type[Any]] = [MedlarpassError]
+    while waiting:
+        error = waiting.pop()
+        waiting.extend(error.__subclasses__())
+        if error.__module__ in names and error not in found:
+            found.append(error)
+    return sorted(found, key=lambda error: str(error.code))
+
+
+def error_rows() -> Rows:
+    """Return code, class, HTTP status and outcome of every error."""
+    return {
+        error.code: (error.code, error.__name__, str(error.http_status), error.outcome.value)
+        for error in error_classes()
+    }
+
+
+def events() -> list[Any]:
+    """Return every log event of the packages, by number."""
+    from medlarpass import Event
+
+    found = {
+        id(value): value
+        for module in import_all()
+        for value in vars(module).values()
+        if isinstance(value, Event)
+    }
+    return sorted(found.values(), key=lambda event: int(event.number))
+
+
+def event_rows() -> Rows:
+    """Return number and name of every log event."""
+    return {str(event.number): (str(event.number), event.name) for event in events()}
+
+
+def settings_rows() -> Rows:
+    """Return key, type, default and bounds of every setting."""
+    from medlarpass_daemon.settings.schema import SETTINGS_SCHEMA
+
+    return _schema_rows(SETTINGS_SCHEMA)
+
+
+def route_rows() -> Rows:
+    """Return key, type, default and bounds of a route."""
+    from medlarpass.tables.schema import ROUTE_SCHEMA
+
+    return _schema_rows(ROUTE_SCHEMA)
+
+
+def pool_rows() -> Rows:
+    """Return key, type, default and bounds of a pool."""
+    from medlarpass.tables.schema import POOL_SCHEMA
+
+    return _schema_rows(POOL_SCHEMA)
+
+
+def token_rows() -> Rows:
+    """Return key, type, default and bounds of the token file."""
+    from medlarpass_daemon.control.operators.token_file import TOKEN_FILE_SCHEMA
+
+    return _schema_rows(TOKEN_FILE_SCHEMA)
+
+
+def exit_status_rows() -> Rows:
+    """Return number and name of every exit status."""
+    from medlarpass_cli.exit_status import ExitStatus
+
+    return {
+        str(status.value): (str(status.value), status.name.lower().replace("_", " "))
+        for status in ExitStatus
+    }
+
+
+#: Code side of each table, by document and heading.
+TABLES: dict[tuple[str, str], Callable[[], Rows]] = {
+    ("docs/configuration.md", "Settings file"): settings_rows,
+    ("docs/configuration.md", "Route documents"): route_rows,
+    ("docs/configuration.md", "Pool documents"): pool_rows,
+    ("docs/configuration.md", "Token file"): token_rows,
+    ("docs/errors.md", "Errors"): error_rows,
+    ("docs/errors.md", "Exit statuses"): exit_status_rows,
+    ("docs/events.md", "Events"): event_rows,
+}
+
+
+def document_table(document: str, heading: str) -> list[list[str]]:
+    """Return the cells of the first table below a heading, without its head."""
+    text = (ROOT / document).read_text(encoding="utf-8")
+    section = re.split(r"^## ", text, flags=re.MULTILINE)
+    bodies = [part for part in section if part.partition("\n")[0].strip() == heading]
+    if len(bodies) != 1:
+        raise LookupError(f"{document}: expected one heading ## {heading}")
+    lines = [line for line in bodies[0].splitlines() if line.startswith("|")]
+    return [
+        [cell.strip().strip("`") for cell in re.split(r"(?<!\\)\|", line)[1:-1]]
+        for line in lines[2:]
+    ]
+
+
+def differences(document: str, heading: str) -> list[str]:
+    """Return a line for each row that is missing, extra, doubled, different or not explained."""
+    wanted = TABLES[(document, heading)]()
+    found: Rows = {}
+    lines = []
+    for cells in document_table(document, heading):
+        key = cells[0]
+        if key in found:
+            lines.append(f"twice: {key}")
+        found[key] = tuple(cells)
+    for key, row in wanted.items():
+        width = len(row)
+        if key not in found:
+            lines.append(f"missing: {_markdown(row)}")
+        elif found[key][:width] != row:
+            lines.append(f"different: {_markdown(found[key][:width])} should be {_markdown(row)}")
+        elif len(found[key]) <= width or not all(found[key][width:]):
+            lines.append(f"not explained: {_markdown(row)}")
+    lines += [f"extra: {key}" for key in found if key not in wanted]
+    return lines
+
+
+def _markdown(row: tuple[str, ...]) -> str:
+    return f"| `{row[0]}` | " + " | ".join(row[1:]) + " |"
+
+
+def _schema_rows(schema: vol.Schema) -> Rows:
+    return {row[0]: row for row in _walk("", schema.schema)}
+
+
+def _walk(prefix: str, mapping: dict[Any, Any]) -> Iterator[tuple[str, ...]]:
+    for marker, validator in mapping.items():
+        key = f"{prefix}{marker.schema}"
+        kind, bounds = _described(validator)
+        yield (key, kind, _default(marker), bounds)
+        for nested_prefix, nested in _nested(key, validator):
+            yield from _walk(nested_prefix, nested)
+
+
+def _nested(key: str, validator: Any) -> Iterator[tuple[str, dict[Any, Any]]]:
+    if isinstance(validator, dict):
+        yield f"{key}.", validator
+    elif isinstance(validator, vol.Any) and isinstance(validator.validators[0], dict):
+        for alternative in validator.validators:
+            mode = next(value for name, value in alternative.items() if name.schema == "mode")
+            rest = {name: value for name, value in alternative.items() if name.schema != "mode"}
+            yield f"{key}({mode}).", rest
+    else:
+        item = _list_item(validator)
+        if isinstance(item, dict):
+            yield f"{key}[].", item
+
+
+def _described(validator: Any) -> tuple[str, str]:
+    """Return type and bounds of a validator."""
+    if isinstance(validator, dict):
+        return "section", NO_BOUNDS
+    if validator is bool:
+        return "true or false", NO_BOUNDS
+    if isinstance(validator, vol.In):
+        return "one of " + ", ".join(map(str, validator.container)), NO_BOUNDS
+    if isinstance(validator, vol.Any) and isinstance(validator.validators[0], dict):
+        modes = [
+            value
+            for alternative in validator.validators
+            for name, value in alternative.items()
+            if name.schema == "mode"
+        ]
+        return "section with mode " + " or ".join(modes), NO_BOUNDS
+    item = _list_item(validator)
+    if item is not None:
+        kind = "sections" if isinstance(item, dict) else _described(item)[0]
+        least = [part.min for part in _parts(validator) if isinstance(part, vol.Length)]
+        return f"list of {kind}", f"at least {least[0]} item" if least else NO_BOUNDS
+    if isinstance(validator, vol.All):
+        return _described_all(validator)
+    return _described_function(validator)
+
+
+def _described_all(validator: vol.All) -> tuple[str, str]:
+    kind = "text" if str in validator.validators else "integer"
+    for part in _parts(validator):
+        if isinstance(part, vol.Range | vol.Length):
+            unit = " characters" if isinstance(part, vol.Length) else ""
+            if part.max is None:
+                return kind, f"at least {part.min}{unit}"
+            return kind, f"{part.min} to {part.max}{unit}"
+    return kind, NO_BOUNDS
+
+
+def _described_function(validator: Any) -> tuple[str, str]:
+    from medlarpass_daemon.settings import schema
+
+    plain = {
+        schema.name: ("name", NO_BOUNDS),
+        schema.ip: ("IP number", NO_BOUNDS),
+        schema.port: ("port", f"1 to {schema.MAX_PORT}"),
+        schema.endpoint: ("IP:PORT", NO_BOUNDS),
+        schema.text: ("text", NO_BOUNDS),
+    }
+    if validator in plain:
+        return plain[validator]
+    values = inspect.getclosurevars(validator).nonlocals
+    if "what" in values:
+        return str(values["what"]), NO_BOUNDS
+    if "low" in values:
+        kind = validator.__qualname__.partition(".")[0]
+        return kind, f"{values['low']} to {values['high']}"
+    name = validator.__name__
+    return {"_name": "name", "_digest": "64 hex digits"}.get(name, name), NO_BOUNDS
+
+
+def _list_item(validator: Any) -> Any:
+    for part in _parts(validator):
+        if isinstance(part, list):
+            return part[0]
+    return None
+
+
+def _parts(validator: Any) -> list[Any]:
+    """Return the parts of a validator, with nested ``All`` flattened."""
+    if isinstance(validator, vol.All):
+        return [part for inner in validator.validators for part in _parts(inner)]
+    return [validator]
+
+
+def _default(marker: Any) -> str:
+    if isinstance(marker, vol.Required):
+        return REQUIRED
+    if isinstance(marker.default, vol.Undefined):
+        return ABSENT
+    value = marker.default()
+    if value == {}:
+        return "all defaults"
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def main() -> int:
+    """Print the differences of all documents."""
+    count = 0
+    for document, heading in TABLES:
+        lines = differences(document, heading)
+        count += len(lines)
+        if lines:
+            print(f"{document}, {heading}:")
+        for line in lines:
+            print(f"  {line}")
+    return 1 if count else 0
+
+
+if __name__ == "__main__":
+    sys.path[:0] = [str(source) for source in SOURCES]
+    sys.exit(main())
--- /dev/null
+++ b/tests/documents/test_reference_documents.py
@@ -0,0 +1,77 @@
+"""Guards against settings, errors and log events that the reference documents lack or invent."""
+
+from __future__ import annotations
+
+import importlib.util
+
+from collections import defaultdict
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import pytest
+
+if TYPE_CHECKING:
+    from types import ModuleType
+
+
+def _load_rows() -> ModuleType:
+    # The import mode importlib adds no test folder to the module path.
+    path = Path(__file__).parent / "document_rows.py"
+    spec = importlib.util.spec_from_file_location("document_rows", path)
+    assert spec is not None and spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+rows = _load_rows()
+
+
+@pytest.mark.parametrize(("document", "heading"), list(rows.TABLES))
+def test_document_lists_what_the_code_has(document: str, heading: str) -> None:
+    found = rows.differences(document, heading)
+    assert not found, f"{document}, {heading}:\n" + "\n".join(found)
+
+
+def test_each_error_has_a_code_of_its_own() -> None:
+    by_code = defaultdict(list)
+    for error in rows.error_classes():
+        by_code[error.code].append(error.__name__)
+    shared = {code: names for code, names in by_code.items() if len(names) > 1}
+    assert not shared
+
+
+def test_each_event_has_a_number_and_a_name_of_its_own() -> None:
+    by_number = defaultdict(list)
+    by_name = defaultdict(list)
+    for event in rows.events():
+        by_number[event.number].append(event.name)
+        by_name[event.name].append(event.number)
+    assert not {number: names for number, names in by_number.items() if len(names) > 1}
+    assert not {name: numbers for name, numbers in by_name.items() if len(numbers) > 1}
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        (lambda text: text.replace("| `703`", "| `799`"), ["missing: | `703`", "extra: 799"]),
+        (lambda text: text + "| `703` | twice | - | - |\n", ["twice: 703"]),
+        (
+            lambda text: text.replace("operators_stopped |", "operators_ended |"),
+            ["different: | `701` | operators_ended | should be | `701` | operators_stopped |"],
+        ),
+        (
+            lambda text: text.replace("the operators' interface has stopped", ""),
+            ["not explained: | `701`"],
+        ),
+    ],
+    ids=["missing and extra", "twice", "different", "not explained"],
+)
+def test_difference_is_named(tmp_path, monkeypatch, change, named) -> None:
+    text = (rows.ROOT / "docs/events.md").read_text()
+    (tmp_path / "docs").mkdir()
+    (tmp_path / "docs/events.md").write_text(change(text))
+    monkeypatch.setattr(rows, "ROOT", tmp_path)
+    found = "\n".join(rows.differences("docs/events.md", "Events"))
+    for line in named:
+        assert line in found
