Test that the settings loader names file, key and expectation

Cause: the errors of the settings file had no tests. Change: a table of 36 faults (unknown key, wrong type, bad unit, contradiction) and the defaults.

--- /dev/null
+++ b/packages/medlarpass-daemon/tests/settings/test_settings_loader.py
@@ -0,0 +1,205 @@
+"""Guards against a process that starts with settings it misunderstands."""
+
+from __future__ import annotations
+
+import copy
+
+from typing import Any
+
+import pytest
+import yaml
+
+from medlarpass_daemon.settings import SettingsError
+from medlarpass_daemon.settings import load_settings
+
+ENTRY = {
+    "name": "entry-1",
+    "domain": "north",
+    "roles": ["entry"],
+    "rpc": {"ip": "127.0.0.1", "port": 7000},
+    "platform": {"ip": "127.0.0.1", "port": 7001},
+    "security": {"between_processes": {"mode": "unauthenticated"}},
+    "entry": {
+        "callers": {"ip": "127.0.0.1", "port": 7002},
+        "servers": {"ip": "127.0.0.1", "port": 7003},
+        "peers": [{"name": "entry-1", "domain": "north", "address": "127.0.0.1:7000"}],
+        "control": ["127.0.0.1:7100"],
+    },
+}
+CONTROL = {
+    "name": "control-1",
+    "domain": "north",
+    "roles": ["control"],
+    "rpc": {"ip": "::1", "port": 7100},
+    "platform": {"ip": "127.0.0.1", "port": 7101},
+    "security": {
+        "between_processes": {
+            "mode": "mutual_tls",
+            "ca": "ca.pem",
+            "certificate": "control-1.pem",
+            "key": "control-1.key",
+        },
+        "operators": {"mode": "token_file", "file": "tokens.yaml"},
+    },
+    "control": {
+        "operators": {"ip": "127.0.0.1", "port": 7102},
+        "data_folder": "data",
+        "replicas": [{"name": "control-1", "domain": "north", "address": "[::1]:7100"}],
+    },
+}
+REMOVED = object()
+
+
+def changed(document: dict[str, Any], key: str, value: object) -> dict[str, Any]:
+    result = copy.deepcopy(document)
+    *sections, last = key.split(".")
+    place = result
+    for section in sections:
+        place = place[section]
+    if value is REMOVED:
+        del place[last]
+    else:
+        place[last] = value
+    return result
+
+
+def load(tmp_path, document):
+    path = tmp_path / "settings.yaml"
+    path.write_text(document if isinstance(document, str) else yaml.safe_dump(document))
+    return load_settings(path)
+
+
+def test_entry_gets_its_defaults_in_seconds_and_bytes(tmp_path) -> None:
+    settings = load(tmp_path, ENTRY)
+    assert settings.control is None
+    assert settings.entry.session_term == pytest.approx(0.6)
+    assert settings.entry.buffer == 64 * 1024
+    assert settings.entry.peers[0].address == "127.0.0.1:7000"
+    assert settings.stop.finish_within == 4 * 3600
+    assert settings.security.tls is None
+    assert settings.log_file == "-"
+
+
+def test_control_gets_its_paths(tmp_path) -> None:
+    settings = load(tmp_path, CONTROL)
+    assert settings.entry is None
+    assert str(settings.security.operator_tokens) == "tokens.yaml"
+    assert str(settings.security.tls.key) == "control-1.key"
+    assert settings.rpc.endpoint() == "[::1]:7100"
+
+
+FAULTS = [
+    ("unknown key", ENTRY, "colour", "red", "colour", "extra keys not allowed"),
+    ("unknown nested key", ENTRY, "entry.colour", "red", "entry.colour", "extra keys not allowed"),
+    ("missing key", ENTRY, "name", REMOVED, "name", "required key not provided"),
+    ("missing nested key", ENTRY, "entry.callers", REMOVED, "entry.callers", "required key"),
+    ("text as integer", ENTRY, "entry.concurrency", "many", "entry.concurrency", "expected int"),
+    ("out of bounds", ENTRY, "entry.concurrency", 0, "entry.concurrency", "at least 1"),
+    ("text as section", ENTRY, "rpc", "127.0.0.1:1", "rpc", "expected a dictionary"),
+    ("text as list", ENTRY, "entry.peers", "entry-1", "entry.peers", "expected a list"),
+    ("empty list", ENTRY, "entry.control", [], "entry.control", "expected at least one item"),
+    ("text as truth", CONTROL, "control.join", "maybe", "control.join", "expected bool"),
+    ("no unit", ENTRY, "entry.session_term", 600, "entry.session_term", "unit of ms, s, min or h"),
+    ("bad unit", ENTRY, "entry.session_term", "1 day", "entry.session_term", "unit of ms, s"),
+    ("duration out of bounds", ENTRY, "entry.session_term", "61s", "entry.session_term", "to 60s"),
+    ("negative duration", ENTRY, "stop", {"balancer_wait": "-1s"}, "stop.balancer_wait", "unit"),
+    ("size without unit", ENTRY, "entry.buffer", 65536, "entry.buffer", "unit of B, KiB"),
+    ("decimal size unit", ENTRY, "entry.buffer", "64kB", "entry.buffer", "unit of B, KiB"),
+    ("size out of bounds", ENTRY, "entry.buffer", "1GiB", "entry.buffer", "4KiB to 4MiB"),
+    ("host name", ENTRY, "rpc.ip", "localhost", "rpc.ip", "expected an IP number"),
+    ("port out of bounds", ENTRY, "rpc.port", 65536, "rpc.port", "port from 1 to 65535"),
+    ("text as port", ENTRY, "rpc.port", "7000", "rpc.port", "port from 1 to 65535"),
+    ("true as port", ENTRY, "rpc.port", True, "rpc.port", "port from 1 to 65535"),
+    ("address without port", ENTRY, "entry.control", ["127.0.0.1"], "entry.control.0", "IP:PORT"),
+    ("upper-case name", ENTRY, "name", "Entry", "name", "lower-case letters"),
+    ("unknown role", ENTRY, "roles", ["relay"], "roles.0", "value must be one of"),
+    ("role twice", ENTRY, "roles", ["entry", "entry"], "roles", "duplicate"),
+    (
+        "no chosen mode",
+        ENTRY,
+        "security.between_processes",
+        {},
+        "security.between_processes",
+        "expected mode unauthenticated, or mode mutual_tls",
+    ),
+    (
+        "half of TLS",
+        CONTROL,
+        "security.between_processes.key",
+        REMOVED,
+        "security.between_processes",
+        "ca, certificate and key",
+    ),
+    (
+        "token file without its name",
+        CONTROL,
+        "security.operators.file",
+        REMOVED,
+        "security.operators",
+        "mode token_file with file",
+    ),
+    ("control without operators", CONTROL, "security.operators", REMOVED, "security.operators", ""),
+    ("section without role", ENTRY, "control", CONTROL["control"], "control", "roles contains"),
+    ("role without section", ENTRY, "entry", REMOVED, "entry", "roles contains entry"),
+    ("not among the peers", ENTRY, "name", "entry-2", "entry.peers", "this entry"),
+    ("other domain than as peer", ENTRY, "domain", "south", "entry.peers", "failure domain"),
+    (
+        "peer twice",
+        ENTRY,
+        "entry.peers",
+        ENTRY["entry"]["peers"] * 2,
+        "entry.peers",
+        "each name once",
+    ),
+    (
+        "wait against term",
+        ENTRY,
+        "entry.heartbeat_wait",
+        "400ms",
+        "entry.session_term",
+        "at least twice entry.heartbeat_wait",
+    ),
+    (
+        "lease against term",
+        ENTRY,
+        "entry.coordinator_term",
+        "1s",
+        "entry.coordinator_term",
+        "at most entry.session_term",
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("document", "key", "value", "named", "expected"),
+    [row[1:] for row in FAULTS],
+    ids=[row[0] for row in FAULTS],
+)
+def test_error_names_file_key_and_expectation(
+    tmp_path, document, key, value, named, expected
+) -> None:
+    with pytest.raises(SettingsError) as caught:
+        load(tmp_path, changed(document, key, value))
+    error = caught.value
+    assert error.file == str(tmp_path / "settings.yaml")
+    assert error.key == named
+    assert expected in error.expected
+    assert error.message == f"{error.file}: {named}: {error.expected}"
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [("", "a mapping"), ("- a\n", "a mapping"), ("a: [\n", "YAML"), ("a: \x00", "YAML")],
+)
+def test_file_that_is_no_mapping_is_refused(tmp_path, text, expected) -> None:
+    with pytest.raises(SettingsError) as caught:
+        load(tmp_path, text)
+    assert expected in caught.value.expected
+
+
+def test_missing_and_binary_files_are_refused(tmp_path) -> None:
+    with pytest.raises(SettingsError, match="readable file"):
+        load_settings(tmp_path / "none.yaml")
+    (tmp_path / "binary.yaml").write_bytes(b"\xff\xfe\xfd")
+    with pytest.raises(SettingsError, match="readable file"):
+        load_settings(tmp_path / "binary.yaml")
