--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/body.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/body.py
@@ -19,12 +19,13 @@
 from medlarpass_daemon.control.operators.exceptions import InvalidCallError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
     from collections.abc import Mapping
 
 MAX_BODY_BYTES = 1 << 20
 #: A change is one log record, which is written and sent as a whole.
 MAX_ITEMS = 1_000
+#: Levels of lists and objects in a body; a change of documents needs six.
+MAX_NESTING = 16
 MAX_VERSION = (1 << 63) - 1
 CHANGE_ID_HEADER = "Idempotency-Key"
 CHANGE_ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
@@ -106,7 +107,7 @@
     except web.HTTPRequestEntityTooLarge as error:
         raise CallTooLargeError(f"expected a body of at most {MAX_BODY_BYTES} bytes") from error
     document = parsed_json(content) if content else {}
-    _check_texts([document])
+    _check_values(document)
     body = checked(schema, document)
     body["change_id"] = _change_id(request, body)
     return body
@@ -187,19 +188,21 @@
     raise ValueError(f"{name} is not JSON")
 
 
-def _check_texts(values: Iterable[Any]) -> None:
-    """Refuse control characters and lone surrogates in any key or text of the body.
+def _check_values(body: Any) -> None:
+    """Refuse texts that can't be stored and deep nesting, in keys and values.
 
-    A lone surrogate can't be stored in a protobuf message, so a replica would fail to apply it.
+    A lone surrogate can't be stored in a protobuf message, and parsing deep nesting can exceed the
+    recursion limit. Either would make a replica fail when it applies the command.
     """
-    waiting = list(values)
+    waiting = [(body, 0)]
     while waiting:
-        value = waiting.pop()
+        value, depth = waiting.pop()
+        if depth > MAX_NESTING:
+            raise InvalidCallError(f"expected at most {MAX_NESTING} levels of nesting")
         if isinstance(value, dict):
-            waiting.extend(value.keys())
-            waiting.extend(value.values())
+            waiting.extend((part, depth + 1) for part in (*value.keys(), *value.values()))
         elif isinstance(value, list):
-            waiting.extend(value)
+            waiting.extend((part, depth + 1) for part in value)
         elif isinstance(value, str) and any(
             unicodedata.category(letter) in ("Cc", "Cs") for letter in value
         ):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/interfaces.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/interfaces.py
@@ -18,7 +18,8 @@
     """Replicated log behind the operators' interface.
 
     Every call may raise a ``MedlarpassError``. Its ``outcome`` must be ``NOT_RUN`` only when the
-    command can't take effect any more, and ``UNKNOWN`` otherwise.
+    command can't take effect any more, and ``UNKNOWN`` otherwise. Every call ends within a bounded
+    time, because a planned stop waits for the calls in flight.
     """
 
     async def propose(self, command: control_pb2.Command) -> control_pb2.CommandResult:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/query.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/query.py
@@ -26,7 +26,8 @@
         self.values: dict[str, str] = {}
         for name, value in request.query.items():
             if name not in allowed:
-                raise InvalidCallError(f"expected no query parameters but {', '.join(allowed)}")
+                known = ", ".join(allowed) or "none"
+                raise InvalidCallError(f"unknown query parameter; there are: {known}")
             if name in self.values:
                 raise InvalidCallError(f"{name}: expected once")
             self.values[name] = value
