Bound the stop of the operators' interface and sharpen its tests

Cause: aiohttp takes a shutdown timeout of 0 as no bound, so stop.finish_within 0s waited for ever. Trial faults in the code also showed that the tests of stop, of repeated keys and of NaN would not have noticed them. Change: the timeout is at least 10 ms; the three tests now fail with the fault put in. Conclusion: other servers on aiohttp must not pass 0 either.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/server.py
@@ -24,6 +24,9 @@
     from medlarpass_daemon.control.operators.interfaces import ControlBackend
     from medlarpass_daemon.settings import DaemonSettings
 
+#: Seconds; aiohttp takes 0 as no bound at all.
+LEAST_SHUTDOWN = 0.01
+
 
 class OperatorsServer:
     """Serves the operators' HTTP/JSON interface of a control replica.
@@ -69,7 +72,7 @@
             access_log=None,
             handle_signals=False,
             # A planned stop lets every call in flight finish.
-            shutdown_timeout=self.settings.stop.finish_within,
+            shutdown_timeout=max(self.settings.stop.finish_within, LEAST_SHUTDOWN),
         )
         await runner.setup()
         self.runner = runner
--- a/packages/medlarpass-daemon/tests/control/operators/test_operator_calls.py
+++ b/packages/medlarpass-daemon/tests/control/operators/test_operator_calls.py
@@ -4,14 +4,17 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 
 from operators_fakes import STOCK_POOL
 from operators_fakes import STOCK_ROUTE
+from operators_fakes import daemon_settings
 from operators_fakes import unavailable
 from operators_fakes import unknown
 
 from medlarpass_daemon.control.operators import NotLeaderError
+from medlarpass_daemon.control.operators import OperatorsServer
 
 BOTH = {
     "items": [
@@ -207,12 +210,6 @@
 
 
 async def test_stop_finishes_the_change_in_flight(backend, tmp_path) -> None:
-    import aiohttp
-
-    from operators_fakes import daemon_settings
-
-    from medlarpass_daemon.control.operators import OperatorsServer
-
     entered = asyncio.Event()
     proceed = asyncio.Event()
     propose = backend.propose
@@ -225,13 +222,50 @@
     backend.propose = slow
     server = OperatorsServer(daemon_settings(tmp_path), backend)
     await server.start()
-    url = f"http://127.0.0.1:{server.port}/v1/drains/stock-1"
+    port = server.port
+    url = f"http://127.0.0.1:{port}/v1/drains/stock-1"
     async with aiohttp.ClientSession() as session:
         request = asyncio.create_task(session.put(url, headers={"Idempotency-Key": "d1"}))
         await entered.wait()
         stop = asyncio.create_task(server.stop())
-        await asyncio.sleep(0)
+        await closed(port)
+        # A stop that does not wait would cut the call off here.
+        await asyncio.wait([request, stop], timeout=0.2)
+        assert not stop.done()
         proceed.set()
         answer = await request
         assert answer.status == 200
         await stop
+    assert len(backend.commands) == 1
+
+
+async def test_stop_without_a_wait_does_not_wait(backend, tmp_path) -> None:
+    entered = asyncio.Event()
+
+    async def endless(command):
+        entered.set()
+        await asyncio.Event().wait()
+
+    backend.propose = endless
+    settings = daemon_settings(tmp_path)
+    settings.stop.finish_within = 0.0
+    server = OperatorsServer(settings, backend)
+    await server.start()
+    url = f"http://127.0.0.1:{server.port}/v1/drains/stock-1"
+    async with aiohttp.ClientSession() as session:
+        request = asyncio.create_task(session.put(url, headers={"Idempotency-Key": "d1"}))
+        await entered.wait()
+        await asyncio.wait_for(server.stop(), 30)
+        with pytest.raises(aiohttp.ClientError):
+            await request
+
+
+async def closed(port: int) -> None:
+    """Return once nothing listens on a port."""
+    while True:
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+        except OSError:
+            return
+        writer.close()
+        await asyncio.sleep(0.01)
--- a/packages/medlarpass-daemon/tests/control/operators/test_operator_input.py
+++ b/packages/medlarpass-daemon/tests/control/operators/test_operator_input.py
@@ -12,6 +12,7 @@
 REPLICA = {"name": "control-9", "domain": "north", "address": "127.0.0.1:7009"}
 ITEM = {"kind": "pool", "name": "stock", "expected_version": 0, "document": {}}
 
+REPEATED = b'{"expected_version":1,"expected_version":0,"document":{}}'
 NESTED: dict[str, object] = {}
 for _ in range(17):
     NESTED = {"a": NESTED}
@@ -21,8 +22,14 @@
     ("not UTF-8", "PUT", "/v1/pools/a", b'{"document": "\xff"}', "invalid_call"),
     ("no object", "PUT", "/v1/pools/a", b"[]", "invalid_call"),
     ("no body", "PUT", "/v1/pools/a", b"", "invalid_call"),
-    ("repeated key", "PUT", "/v1/pools/a", b'{"expected_version":0,"expected_version":1}', ""),
-    ("NaN", "PUT", "/v1/pools/a", b'{"expected_version":NaN,"document":{}}', ""),
+    (
+        "repeated key",
+        "PUT",
+        "/v1/pools/a",
+        b'{"expected_version":1,"expected_version":0,"document":{}}',
+        "",
+    ),
+    ("NaN", "PUT", "/v1/pools/a", b'{"expected_version":0,"document":{"a":NaN}}', ""),
     ("deep nesting", "PUT", "/v1/pools/a", b"[" * 200_000, "invalid_call"),
     ("nesting near the limit", "PUT", "/v1/pools/a", {**PUT, "document": NESTED}, "invalid_call"),
     ("unknown key", "PUT", "/v1/pools/a", {**PUT, "colour": 1}, "invalid_call"),
