--- a/packages/medlarpass/src/medlarpass/dispatch/settings.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/settings.py
@@ -106,13 +106,15 @@
 
     :param ratio: retries allowed per request
     :param term: seconds until the allowance of a request expires
+    :param window: seconds within which the ratio holds as well, apart from a single retry
     """
 
-    __slots__ = ("ratio", "term")
+    __slots__ = ("ratio", "term", "window")
 
-    def __init__(self, ratio: float = 0.1, term: float = 10.0) -> None:
+    def __init__(self, ratio: float = 0.1, term: float = 10.0, window: float = 1.0) -> None:
         self.ratio = ratio
         self.term = term
+        self.window = window
 
 
 class RetrySettings(Value):
@@ -165,7 +167,7 @@
 
     __slots__ = ("capacity", "half_life")
 
-    def __init__(self, capacity: int = 512, half_life: float = 10.0) -> None:
+    def __init__(self, capacity: int = 512, half_life: float = 5.0) -> None:
         self.capacity = capacity
         self.half_life = half_life
 
--- a/packages/medlarpass/tests/dispatch/test_hot_key_sketch.py
+++ b/packages/medlarpass/tests/dispatch/test_hot_key_sketch.py
@@ -20,7 +20,7 @@
 
 
 def sketch(clock: ManualClock, capacity: int = 64) -> HotKeySketch:
-    return HotKeySketch(SketchSettings(capacity=capacity), clock)
+    return HotKeySketch(SketchSettings(capacity=capacity, half_life=10.0), clock)
 
 
 def names(report: HotKeyReport) -> list[str]:
--- a/packages/medlarpass/tests/dispatch/test_retry_budget.py
+++ b/packages/medlarpass/tests/dispatch/test_retry_budget.py
@@ -48,3 +48,27 @@
     assert budget.balance() <= 1.0
     clock.advance(10.0)
     assert not budget.try_withdraw()
+
+
+def test_first_second_of_a_failure_after_a_healthy_time_stays_within_the_bound() -> None:
+    clock = ManualClock()
+    budget = RetryBudget(RetryBudgetSettings(), clock)
+    retries = 0
+    for n in range(4000):
+        budget.request_started()
+        clock.advance(0.005)
+        if n >= 3800:
+            retries += budget.try_withdraw()
+            retries += budget.try_withdraw()
+    assert 18 <= retries <= 20
+
+
+def test_route_with_few_requests_still_gets_retries() -> None:
+    clock = ManualClock()
+    budget = RetryBudget(RetryBudgetSettings(), clock)
+    retries = 0
+    for _ in range(200):
+        budget.request_started()
+        clock.advance(0.5)
+        retries += budget.try_withdraw()
+    assert retries == 20
