--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
@@ -11,7 +11,7 @@
 
 from medlarpass import MedlarpassError
 from medlarpass.ownership import Coordinator
-from medlarpass.ownership import EpochsPendingError
+from medlarpass.ownership.exceptions import EpochsPendingError
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import control_pb2_grpc
 from medlarpass.rpc import domain_pb2
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
@@ -6,8 +6,8 @@
 
 from typing import TYPE_CHECKING
 
-from medlarpass.ownership import NoOwnerError as DomainHasNoOwnerError
 from medlarpass.ownership import OwnershipView
+from medlarpass.ownership.exceptions import NoOwnerError as DomainHasNoOwnerError
 from medlarpass_daemon.entry.callers import NoOwnerError
 from medlarpass_daemon.entry.callers.interfaces import Target
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/loader.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/loader.py
@@ -11,6 +11,7 @@
 from medlarpass_daemon.settings.daemon import DaemonSettings
 from medlarpass_daemon.settings.exceptions import SettingsError
 from medlarpass_daemon.settings.schema import SETTINGS_SCHEMA
+from medlarpass_daemon.settings.unique_key_loader import UniqueKeyLoader
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -31,7 +32,7 @@
 
 def _parsed(path: Path) -> Any:
     try:
-        return yaml.safe_load(path.read_text(encoding="utf-8"))
+        return yaml.load(path.read_text(encoding="utf-8"), Loader=UniqueKeyLoader)
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(str(path), "", f"expected a readable file ({error})") from error
     except yaml.YAMLError as error:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -26,11 +26,24 @@
 def ip(value: Any) -> str:
     """Check an IP number; host names are refused because processes talk by IP numbers."""
     try:
+        if not isinstance(value, str):
+            raise ValueError("not a text")
         return str(ipaddress.ip_address(value))
     except ValueError as error:
         raise vol.Invalid("expected an IP number") from error
 
 
+def count(low: int, high: int) -> Any:
+    """Return a validator for an integer; YAML's true and false are none."""
+
+    def check(value: Any) -> int:
+        if isinstance(value, bool) or not isinstance(value, int) or not low <= value <= high:
+            raise vol.Invalid(f"expected an integer from {low} to {high}")
+        return value
+
+    return check
+
+
 def port(value: Any) -> int:
     """Check a TCP port."""
     if isinstance(value, bool) or not isinstance(value, int) or not 1 <= value <= MAX_PORT:
@@ -44,7 +57,9 @@
     if not separator or not number.isdigit():
         raise vol.Invalid("expected IP:PORT")
     port(int(number))
-    ip(host.strip("[]"))
+    address = ip(host[1:-1] if host.startswith("[") and host.endswith("]") else host)
+    if (":" in address) != host.startswith("["):
+        raise vol.Invalid("expected IPv4:PORT or [IPv6]:PORT")
     return str(value)
 
 
@@ -90,8 +105,8 @@
     vol.Required("servers"): LISTENER,
     vol.Required("peers"): listed(MEMBER),
     vol.Required("control"): listed(endpoint),
-    vol.Optional("concurrency", default=1024): vol.All(int, vol.Range(min=1, max=100_000)),
-    vol.Optional("connections_per_server", default=16): vol.All(int, vol.Range(min=1, max=10_000)),
+    vol.Optional("concurrency", default=1024): count(1, 100_000),
+    vol.Optional("connections_per_server", default=16): count(1, 10_000),
     vol.Optional("buffer", default="64KiB"): size("4KiB", "4MiB"),
     vol.Optional("order_body", default="1MiB"): size("1KiB", "16MiB"),
     vol.Optional("coordinator_term", default="400ms"): duration("100ms", "10s"),
@@ -107,7 +122,7 @@
     vol.Required("replicas"): listed(MEMBER),
     vol.Optional("heartbeat", default="100ms"): duration("10ms", "5s"),
     vol.Optional("election_timeout", default="500ms"): duration("50ms", "30s"),
-    vol.Optional("snapshot_records", default=10_000): vol.All(int, vol.Range(min=10)),
+    vol.Optional("snapshot_records", default=10_000): count(10, 10_000_000),
 }
 
 SETTINGS_SCHEMA = vol.Schema(
--- a/packages/medlarpass/src/medlarpass/ownership/lease_acceptor.py
+++ b/packages/medlarpass/src/medlarpass/ownership/lease_acceptor.py
@@ -52,6 +52,10 @@
         """Whether an accepted lease has not ended yet."""
         return self.holder != "" and self.clock.now() < self.honoured_until
 
+    def holder_entry(self) -> str:
+        """Return the entry whose lease this acceptor honours, or an empty string."""
+        return entry_of(self.holder) if self.honours_lease else ""
+
     def prepare(self, request: pb.PrepareRequest) -> pb.PrepareResponse:
         """Promise to accept no lower ballot.
 
@@ -66,12 +70,15 @@
         return self._answer(promised=True)
 
     def accept(self, request: pb.AcceptRequest) -> pb.AcceptResponse:
-        """Honour a lease from now on for its term.
+        """Honour a lease from now on for its term, or end it when its holder has resigned.
 
-        :param request: promised ballot and term
+        :param request: promised ballot and term; a term of 0 ends the lease
         """
         if self.is_silent or ballot_key(request.ballot) != ballot_key(self.promised):
             return pb.AcceptResponse(accepted=False, highest=self.promised)
+        if request.term_ms == 0:
+            self.honoured_until = self.clock.now()
+            return pb.AcceptResponse(accepted=True, highest=self.promised)
         self.holder = request.ballot.entry
         until = self.clock.now() + granted_term(request.term_ms / MILLISECONDS)
         self.honoured_until = max(self.honoured_until, until)
--- a/packages/medlarpass/src/medlarpass/ownership/lease_proposer.py
+++ b/packages/medlarpass/src/medlarpass/ownership/lease_proposer.py
@@ -121,9 +121,13 @@
         """Note that control has given every shard of the domain a new epoch."""
         self.needs_new_epochs = False
 
-    def resign(self) -> None:
-        """Stop being the holder; acceptors honour the lease until it ends."""
+    async def resign(self) -> None:
+        """Stop being the holder and tell the acceptors, so that a successor need not wait."""
+        if not self.is_holder():
+            return
         self.valid_until = 0.0
+        request = pb.AcceptRequest(ballot=self.ballot, term_ms=0)
+        await self._ask_all({name: each.accept(request) for name, each in self._items()})
 
     async def acquire(self) -> bool:
         """Try once to become the holder.
--- a/packages/medlarpass/src/medlarpass/registry/server_registry.py
+++ b/packages/medlarpass/src/medlarpass/registry/server_registry.py
@@ -123,26 +123,21 @@
 
     def heard_directly(self) -> list[pb.ServerStatus]:
         """Return the servers that this entry has heard itself, with age, for its peers."""
-        now = self.clock.now()
         return [
-            pb.ServerStatus(
-                identity=each.server.identity,
-                incarnation=each.server.incarnation,
-                domain=each.server.domain,
-                ip=each.server.ip,
-                port=each.server.port,
-                pools=each.server.pools,
-                slots=each.server.slots,
-                connections=each.server.connections,
-                checks_fences=each.server.checks_fences,
-                state=each.state.spelling,
-                in_flight=each.in_flight,
-                age_ms=round((now - each.heard_at) * MILLISECONDS),
-            )
+            self._status(each)
             for each in self.presences.values()
             if each.direct and not self.is_silent(each)
         ]
 
+    def statuses(self, domain: str) -> list[pb.ServerStatus]:
+        """Return all servers of a domain, with the age of their last word.
+
+        :param domain: failure domain
+        """
+        return [
+            self._status(each) for each in self.presences.values() if each.server.domain == domain
+        ]
+
     def forget_old(self) -> None:
         """Remove servers that have been silent for long."""
         oldest = self.clock.now() - MEMORY_LIMIT
@@ -151,6 +146,23 @@
                 SERVER_SILENT.log(server=identity, incarnation=each.server.incarnation)
                 del self.presences[identity]
 
+    def _status(self, presence: Presence) -> pb.ServerStatus:
+        server = presence.server
+        return pb.ServerStatus(
+            identity=server.identity,
+            incarnation=server.incarnation,
+            domain=server.domain,
+            ip=server.ip,
+            port=server.port,
+            pools=server.pools,
+            slots=server.slots,
+            connections=server.connections,
+            checks_fences=server.checks_fences,
+            state=presence.state.spelling,
+            in_flight=presence.in_flight,
+            age_ms=round((self.clock.now() - presence.heard_at) * MILLISECONDS),
+        )
+
     def _note(self, message: pb.ServerStatus, heard_at: float, direct: bool) -> None:
         server, state = Server.from_proto(message), ServerState.parse(message.state)
         present = self.presences.get(server.identity)
--- a/packages/medlarpass/src/medlarpass/tables/configuration_table.py
+++ b/packages/medlarpass/src/medlarpass/tables/configuration_table.py
@@ -90,13 +90,15 @@
         :param time_ms: time stamped by the leader
         """
         digest = digest_of(change)
+        before = change.server in self.drained
         try:
             known = self.history.find(change.change_id, digest)
         except ChangeIdReusedError as error:
-            return self._refused(error)
+            result = self._refused(error)
+            self._audit_drain(change, time_ms, before, result)
+            return result
         if known is not None:
             return known
-        before = change.server in self.drained
         if change.drained:
             self.drained.add(change.server)
         else:
@@ -106,19 +108,7 @@
             status=control_pb2.CHANGE_STATUS_ACCEPTED, revision=self.revision
         )
         self.history.add(change.change_id, digest, time_ms, result)
-        self.audit.add(
-            state_pb2.AuditEntry(
-                time_ms=time_ms,
-                change_id=change.change_id,
-                author=change.author,
-                source=change.source,
-                action=f"drain {change.server}",
-                before=_drain_text(before),
-                after=_drain_text(change.drained),
-                outcome="accepted",
-                revision=self.revision,
-            )
-        )
+        self._audit_drain(change, time_ms, before, result)
         return result
 
     def record_refusal(self, refusal: control_pb2.RecordRefusal, time_ms: int) -> None:
@@ -284,6 +274,27 @@
                 )
             )
 
+    def _audit_drain(
+        self,
+        change: control_pb2.SetDrain,
+        time_ms: int,
+        before: bool,
+        result: control_pb2.ChangeResult,
+    ) -> None:
+        self.audit.add(
+            state_pb2.AuditEntry(
+                time_ms=time_ms,
+                change_id=change.change_id,
+                author=change.author,
+                source=change.source,
+                action=f"drain {change.server}",
+                before=_drain_text(before),
+                after=_drain_text(change.drained),
+                outcome=result.code or "accepted",
+                revision=result.revision,
+            )
+        )
+
 
 def _key(item: control_pb2.ItemChange) -> ItemKey:
     return (item.kind, item.name)
--- a/packages/medlarpass/src/medlarpass/tables/schema.py
+++ b/packages/medlarpass/src/medlarpass/tables/schema.py
@@ -19,6 +19,8 @@
 MAX_DEADLINE_MS = 24 * 3600 * 1000
 MAX_SHARDS = 1 << 20
 MAX_DOCUMENT_BYTES = 64 * 1024
+#: Every replica parses documents; deep nesting could end one with a RecursionError.
+MAX_NESTING = 16
 
 
 def _integer(low: int, high: int) -> Any:
@@ -101,10 +103,27 @@
     """
     if len(text.encode()) > MAX_DOCUMENT_BYTES:
         raise InvalidDocumentError(f"{name}: document above {MAX_DOCUMENT_BYTES} bytes")
+    if _brackets(text) > MAX_NESTING:
+        raise InvalidDocumentError(f"{name}: nested deeper than {MAX_NESTING} levels")
     try:
-        return json.loads(text)
+        document = json.loads(text)
+        # A lone surrogate can be parsed, but not be put into a message or a log.
+        json.dumps(document, ensure_ascii=False).encode()
     except ValueError as error:
-        raise InvalidDocumentError(f"{name}: not JSON: {error}") from error
+        raise InvalidDocumentError(f"{name}: not JSON of valid Unicode") from error
+    return document
+
+
+def _brackets(text: str) -> int:
+    """Return the greatest number of open brackets; counts those inside strings too."""
+    depth = deepest = 0
+    for character in text:
+        if character in "[{":
+            depth += 1
+            deepest = max(deepest, depth)
+        elif character in "]}":
+            depth -= 1
+    return deepest
 
 
 def _where(error: vol.Invalid) -> str:
--- a/packages/medlarpass/tests/tables/test_configuration_table.py
+++ b/packages/medlarpass/tests/tables/test_configuration_table.py
@@ -114,6 +114,24 @@
     assert table.configuration().items[0].version == 2
 
 
+def test_reused_change_id_of_a_drain_is_refused_and_audited() -> None:
+    table = table_with_stock()
+    drain = control_pb2.SetDrain(change_id="start", author="amina", server="s1", drained=True)
+    assert table.set_drain(drain, 2).code == "change_id_reused"
+    assert table.audit.records[-1].outcome == "change_id_reused"
+    assert not table.drained
+
+
+@pytest.mark.parametrize(
+    "document", ['{"\\ud800": 1}', '{"a":' * 5_000 + "1" + "}" * 5_000], ids=["surrogate", "deep"]
+)
+def test_document_that_can_not_be_handled_is_refused(document: str) -> None:
+    """An exception here would end every replica that applies the command."""
+    table = table_with_stock()
+    item = control_pb2.ItemChange(kind=POOL, name="bad", document=document)
+    assert table.apply(change("bad", item), 2).code == "invalid_document"
+
+
 def test_drain_is_audited_and_repeated_drain_is_one_change() -> None:
     table = table_with_stock()
     drain = control_pb2.SetDrain(change_id="d", author="amina", server="s1", drained=True)
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -173,7 +173,7 @@
             if answer is None or answer.status != 200:
                 continue
             for replica in answer.json()["replicas"]:
-                if replica["role"] == "leader":
+                if replica["status"] and replica["status"]["role"] == "leader":
                     return next(each for each in self.control if each.name == replica["name"])
         return None
 
@@ -196,7 +196,7 @@
         for node in self.control:
             answer = call("GET", node.front, "/v1/in-force", timeout=2)
             if answer is not None and answer.status == 200:
-                places = answer.json()["in_force"]
+                places = answer.json()["places"]
                 return {place["place"]: place["revision"] for place in places}
         return {}
 
