--- /dev/null
+++ b/packages/medlarpass/tests/replication/test_vote_and_snapshot_store.py
@@ -0,0 +1,166 @@
+"""Guards against a second vote in a term and against half a snapshot after a crash."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from medlarpass.replication import DamagedSnapshotError
+from medlarpass.replication import DamagedVoteError
+from medlarpass.replication import Member
+from medlarpass.replication import Membership
+from medlarpass.replication import MembershipError
+from medlarpass.replication import ReplicaStateError
+from medlarpass.replication import Snapshot
+from medlarpass.replication import SnapshotStore
+from medlarpass.replication import StorageFailedError
+from medlarpass.replication import VoteStore
+from packages.medlarpass.tests.replication.memory_file_system import CrashMode
+from packages.medlarpass.tests.replication.memory_file_system import MemoryFileSystem
+
+FOLDER = Path("/data")
+MEMBERS = Membership([Member("a", "1:1", "x"), Member("b", "1:2", "y"), Member("c", "1:3", "z")])
+
+
+def voted(file_system: MemoryFileSystem, replica: str = "a") -> VoteStore:
+    votes = VoteStore(FOLDER, replica, file_system)
+    votes.open()
+    return votes
+
+
+def bootstrapped(file_system: MemoryFileSystem) -> VoteStore:
+    VoteStore(FOLDER, "a", file_system).bootstrap(MEMBERS)
+    return voted(file_system)
+
+
+@pytest.mark.parametrize("mode", CrashMode)
+def test_vote_survives_a_crash_after_every_operation(mode: CrashMode) -> None:
+    crash_after = 0
+    stopped = True
+    while stopped:
+        stopped = False
+        file_system = MemoryFileSystem()
+        file_system.stop_after = crash_after
+        saved: list[tuple[int, str | None]] = []
+        running: tuple[int, str | None] = (0, None)
+        try:
+            votes = bootstrapped(file_system)
+            saved.append(running)
+            for term in range(1, 4):
+                running = (term, "b")
+                votes.save(*running)
+                saved.append(running)
+        except StorageFailedError:
+            stopped = True
+        votes = voted(file_system.crash(mode))
+        if saved:
+            assert (votes.term, votes.vote) in (saved[-1], running), crash_after
+        assert votes.identity == "a" or not votes.initial.members
+        crash_after += 1
+
+
+def test_empty_folder_gets_a_new_identity_and_no_members() -> None:
+    votes = voted(MemoryFileSystem())
+    assert votes.identity.startswith("a-")
+    assert votes.initial == Membership(())
+    assert voted(MemoryFileSystem()).identity != votes.identity
+
+
+@pytest.mark.parametrize("lost", [False, True], ids=["foreign", "vote file lost"])
+def test_foreign_folder_never_votes_under_the_old_identity(lost: bool) -> None:
+    file_system = MemoryFileSystem()
+    bootstrapped(file_system).save(7, "c")
+    SnapshotStore(FOLDER / "snapshots", file_system).save(Snapshot(3, 1, MEMBERS, b"state"))
+    if lost:
+        file_system.remove(FOLDER / "vote")
+    votes = voted(file_system, replica="a" if lost else "b")
+    assert votes.identity not in MEMBERS.voters
+    assert (votes.term, votes.vote, votes.initial) == (0, None, Membership(()))
+    assert SnapshotStore(FOLDER / "snapshots", file_system).open() is None
+    assert any(name.startswith("snapshots.foreign-") for name in file_system.list_names(FOLDER))
+
+
+def test_bootstrap_refuses_a_folder_in_use() -> None:
+    file_system = MemoryFileSystem()
+    voted(file_system)
+    with pytest.raises(ReplicaStateError):
+        VoteStore(FOLDER, "a", file_system).bootstrap(MEMBERS)
+
+
+def test_damaged_vote_stops_the_start() -> None:
+    file_system = MemoryFileSystem()
+    bootstrapped(file_system)
+    file_system.names[FOLDER / "vote"].content = b"00000000\n{}"
+    with pytest.raises(DamagedVoteError):
+        voted(file_system)
+
+
+def test_vote_store_refuses_calls_after_a_failed_fsync() -> None:
+    file_system = MemoryFileSystem()
+    votes = bootstrapped(file_system)
+    file_system.fsync_fails = True
+    with pytest.raises(StorageFailedError):
+        votes.save(1, "a")
+    file_system.fsync_fails = False
+    with pytest.raises(StorageFailedError):
+        votes.save(1, "b")
+    assert (votes.term, votes.vote) == (0, None)
+
+
+def snapshot(index: int) -> Snapshot:
+    return Snapshot(index, 1, MEMBERS, b"state %d" % index * 20)
+
+
+@pytest.mark.parametrize("mode", CrashMode)
+def test_snapshot_survives_a_crash_after_every_operation(mode: CrashMode) -> None:
+    crash_after = 0
+    stopped = True
+    while stopped:
+        stopped = False
+        file_system = MemoryFileSystem()
+        file_system.stop_after = crash_after
+        saved = running = 0
+        try:
+            store = SnapshotStore(FOLDER, file_system)
+            store.open()
+            for running in (10, 20, 30):
+                store.save(snapshot(running))
+                saved = running
+        except StorageFailedError:
+            stopped = True
+        found = SnapshotStore(FOLDER, file_system.crash(mode)).open()
+        allowed = [None if index == 0 else snapshot(index) for index in (saved, running)]
+        assert found in allowed, crash_after
+        crash_after += 1
+
+
+def test_only_damaged_snapshots_stop_the_start() -> None:
+    file_system = MemoryFileSystem()
+    store = SnapshotStore(FOLDER, file_system)
+    store.save(snapshot(10))
+    path = next(iter(file_system.names))
+    file_system.names[path].content = file_system.read(path)[:-1]
+    with pytest.raises(DamagedSnapshotError):
+        SnapshotStore(FOLDER, file_system).open()
+
+
+def test_membership_changes_one_voter_at_a_time() -> None:
+    learner = Member("d", "1:4", "x")
+    assert MEMBERS.add(learner).voters == MEMBERS.voters
+    assert MEMBERS.add(learner).promote("d").voters == {"a", "b", "c", "d"}
+    assert MEMBERS.replace("c", Member("e", "1:3", "z")).voters == {"a", "b"}
+    assert Membership.decode(MEMBERS.add(learner).encode()) == MEMBERS.add(learner)
+
+
+@pytest.mark.parametrize(
+    "member", [Member("a", "1:9", "x"), Member("d", "1:1", "x")], ids=["identity", "address"]
+)
+def test_one_process_cannot_count_twice(member: Member) -> None:
+    with pytest.raises(MembershipError):
+        MEMBERS.add(member)
+
+
+def test_last_voter_cannot_be_removed() -> None:
+    with pytest.raises(MembershipError):
+        Membership([Member("a", "1:1", "x")]).remove("a")
