--- a/packages/medlarpass/src/medlarpass/replication/__init__.py
+++ b/packages/medlarpass/src/medlarpass/replication/__init__.py
@@ -21,7 +21,10 @@
 from medlarpass.replication.log_store import LogStore
 from medlarpass.replication.membership import Member
 from medlarpass.replication.membership import Membership
+from medlarpass.replication.protocols import StateMachine
+from medlarpass.replication.protocols import Transport
 from medlarpass.replication.record import Record
+from medlarpass.replication.replica import Replica
 from medlarpass.replication.settings import ReplicationSettings
 from medlarpass.replication.snapshot_store import Snapshot
 from medlarpass.replication.snapshot_store import SnapshotStore
@@ -43,13 +46,16 @@
     "ProposalTooLargeError",
     "ProposalUnknownError",
     "Record",
+    "Replica",
     "ReplicaStateError",
     "ReplicationError",
     "ReplicationSettings",
     "Snapshot",
     "SnapshotStore",
     "SnapshotTransferError",
+    "StateMachine",
     "StorageFailedError",
+    "Transport",
     "VoteStore",
     "WrongReceiverError",
 ]
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/replication/applier.py
@@ -0,0 +1,69 @@
+"""Applies committed records and takes snapshots."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+from medlarpass.replication import events
+from medlarpass.replication.snapshot_store import Snapshot
+from medlarpass.rpc.replication_pb2 import ENTRY_KIND_COMMAND
+
+if TYPE_CHECKING:
+    from medlarpass.replication.state import ReplicaState
+
+# Records applied before other tasks get a turn.
+BATCH = 64
+
+
+class Applier:
+    """Feeds the state machine."""
+
+    __slots__ = ("saving", "state")
+
+    def __init__(self, state: ReplicaState) -> None:
+        self.state = state
+        self.saving: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        """Apply until cancelled."""
+        state = self.state
+        while True:
+            await state.changed.wait_for(lambda: state.applied_index < state.commit_index)
+            for _ in range(min(BATCH, state.commit_index - state.applied_index)):
+                self._apply_next()
+            state.changed.notify()
+            self._take_snapshot()
+            await asyncio.sleep(0)
+
+    def _apply_next(self) -> None:
+        state = self.state
+        record = state.log.record_at(state.applied_index + 1)
+        result = b""
+        if record.kind == ENTRY_KIND_COMMAND:
+            result = state.state_machine.apply(record.index, record.payload)
+        state.applied_index = record.index
+        if state.leadership is not None:
+            state.leadership.complete(record.index, result)
+
+    def _take_snapshot(self) -> None:
+        state = self.state
+        index = state.applied_index
+        if index - state.snapshots.index < state.settings.snapshot_threshold:
+            return
+        if self.saving is not None and not self.saving.done():
+            return
+        snapshot = Snapshot(
+            index,
+            state.log.term_at(index),
+            state.history.at(index),
+            state.state_machine.snapshot(),
+        )
+        self.saving = state.spawn(self._save(snapshot))
+
+    async def _save(self, snapshot: Snapshot) -> None:
+        state = self.state
+        await asyncio.to_thread(state.snapshots.save, snapshot)
+        events.SNAPSHOT_SAVED.log(index=snapshot.index, bytes=len(snapshot.data))
+        await state.log.drop_prefix(snapshot.index - state.settings.snapshot_trailing)
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/replication/role.py
@@ -0,0 +1,13 @@
+"""Roles of a replica."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Role(Enum):
+    """Role in the present term; a learner is a follower that does not count."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
--- /dev/null
+++ b/packages/medlarpass/tests/replication/test_replica_elections.py
@@ -0,0 +1,131 @@
+"""Guards against two leaders, disturbed leaders and reads from a deposed leader."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import cast
+
+import pytest
+
+from medlarpass import ManualClock
+from medlarpass.replication import NotLeaderError
+from medlarpass.replication import ProposalUnknownError
+from medlarpass.replication import WrongReceiverError
+from medlarpass.rpc.replication_pb2 import VoteRequest
+from packages.medlarpass.tests.replication.replica_cluster import Cluster
+
+
+@pytest.mark.parametrize("size", [1, 3, 5])
+async def test_one_leader_is_elected(size: int) -> None:
+    async with Cluster(size) as cluster:
+        leader = await cluster.leader()
+        assert leader.replica.elected_at is not None
+        await cluster.check()
+        await cluster.wait(
+            lambda: all(node.replica.leader == leader.member for node in cluster.nodes)
+        )
+
+
+async def test_returning_replica_does_not_disturb_the_leader() -> None:
+    async with Cluster(3, clock=ManualClock) as cluster:
+        await cluster.nodes[0].replica.election.campaign()
+        leader = await cluster.leader()
+        assert leader is cluster.nodes[0]
+        await cluster.wait(lambda: all(n.replica.term == 1 for n in cluster.nodes))
+        outside = cluster.nodes[2]
+        cluster.network.isolate(outside.member.address)
+        cast("ManualClock", outside.clock).advance(100)
+        for _ in range(3):
+            await outside.replica.election.campaign()
+        assert outside.replica.term == 1
+        cluster.network.heal()
+        await outside.replica.election.campaign()
+        assert [node.replica.term for node in cluster.nodes] == [1, 1, 1]
+        assert leader.replica.is_leader
+
+
+async def test_leader_in_a_minority_steps_down() -> None:
+    async with Cluster(5) as cluster:
+        old = await cluster.leader()
+        cluster.network.isolate(old.member.address)
+        pending = asyncio.create_task(old.replica.propose(b"lost"))
+        others = [node for node in cluster.nodes if node is not old]
+        await cluster.leader(of=others)
+        await cluster.wait(lambda: not old.replica.is_leader, "step-down")
+        with pytest.raises(ProposalUnknownError):
+            await pending
+        with pytest.raises(NotLeaderError):
+            await old.replica.propose(b"refused")
+        await cluster.propose(of=others)
+        cluster.network.heal()
+        await cluster.check()
+        assert "lost" not in old.machine.applied
+
+
+async def test_confirmation_needs_a_majority_after_the_call() -> None:
+    async with Cluster(3, clock=ManualClock) as cluster:
+        await cluster.nodes[0].replica.election.campaign()
+        leader = (await cluster.leader()).replica
+        await leader.confirm_leadership()
+        assert await leader.read_index() == leader.commit_index
+        cluster.network.isolate(cluster.nodes[0].member.address)
+        confirmation = asyncio.create_task(leader.confirm_leadership())
+        reading = asyncio.create_task(leader.read_index())
+        # Calls that were answered before the cut must not count, however long the wait.
+        await asyncio.sleep(0.1)
+        assert not confirmation.done()
+        assert not reading.done()
+        cast("ManualClock", cluster.nodes[0].clock).advance(100)
+        for waiting in (confirmation, reading):
+            with pytest.raises(NotLeaderError):
+                await waiting
+
+
+async def test_planned_stop_hands_leadership_over() -> None:
+    async with Cluster(3, clock=ManualClock) as cluster:
+        await cluster.nodes[0].replica.election.campaign()
+        old = await cluster.leader()
+        await cluster.propose()
+        await old.replica.stop(hand_over=True)
+        old.running = False
+        # The clocks stand still, so that only a transfer can have led to an election.
+        new = await cluster.leader()
+        assert new is not old
+        assert new.replica.term == 2
+        await cluster.propose()
+
+
+async def test_proposals_during_a_planned_stop_are_answered_or_refused() -> None:
+    async with Cluster(3) as cluster:
+        old = await cluster.leader()
+        pending = [asyncio.create_task(old.replica.propose(b"%d" % n)) for n in range(50)]
+        await asyncio.sleep(0)
+        await old.replica.stop(hand_over=True)
+        old.running = False
+        assert [await task for task in pending] == [b"result of %d" % n for n in range(50)]
+        with pytest.raises(NotLeaderError):
+            await old.replica.propose(b"late")
+
+
+@pytest.mark.parametrize("pre_vote", [False, True])
+async def test_vote_is_refused_for_a_shorter_log_or_another_identity(pre_vote: bool) -> None:
+    async with Cluster(3, clock=ManualClock) as cluster:
+        voter = cluster.nodes[1].replica
+        await cluster.nodes[0].replica.election.campaign()
+        await cluster.propose()
+        await cluster.wait(lambda: voter.commit_index > 0)
+        cast("ManualClock", cluster.nodes[1].clock).advance(100)
+        cluster.network.isolate(cluster.nodes[1].member.address)
+        request = VoteRequest(
+            term=9, candidate="r2", receiver="r1", last_term=1, last_index=1, pre_vote=pre_vote
+        )
+        assert not (await voter.handle_vote(request)).granted
+        request.last_index = voter.last_index
+        request.receiver = "r0"
+        with pytest.raises(WrongReceiverError):
+            await voter.handle_vote(request)
+        request.receiver = "r1"
+        assert (await voter.handle_vote(request)).granted
+        request.candidate = "r0"
+        assert (await voter.handle_vote(request)).granted is pre_vote
--- /dev/null
+++ b/packages/medlarpass/tests/replication/test_replica_log.py
@@ -0,0 +1,199 @@
+"""Guards against acknowledged records that are lost, repeated or reordered."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from medlarpass.replication import Member
+from medlarpass.replication import NotLeaderError
+from medlarpass.replication import ProposalTooLargeError
+from medlarpass.replication import ProposalUnknownError
+from medlarpass.replication import StorageFailedError
+from packages.medlarpass.tests.replication.memory_file_system import CrashMode
+from packages.medlarpass.tests.replication.replica_cluster import Cluster
+from packages.medlarpass.tests.replication.replica_cluster import Node
+
+
+async def test_lost_repeated_and_reordered_calls() -> None:
+    async with Cluster(3) as cluster:
+        await cluster.propose()
+        cluster.network.lost_share = 0.1
+        cluster.network.repeated_share = 0.3
+        cluster.network.max_delay = 0.02
+        for _ in range(40):
+            await cluster.propose()
+        cluster.network.heal()
+        await cluster.check()
+
+
+async def test_nothing_is_acknowledged_before_a_majority_has_synced() -> None:
+    async with Cluster(3, election_timeout_min=60, election_timeout_max=120) as cluster:
+        await cluster.nodes[0].replica.election.campaign()
+        leader = await cluster.leader()
+        await cluster.propose()
+        followers = [node for node in cluster.nodes if node is not leader]
+        await cluster.wait(
+            lambda: all(n.replica.last_index == leader.replica.last_index for n in followers)
+        )
+        for node in followers:
+            node.file_system.fsync_gate.clear()
+        before = leader.replica.commit_index
+        pending = asyncio.create_task(leader.replica.propose(b"waits"))
+        await cluster.wait(
+            lambda: all(n.replica.last_index == leader.replica.last_index for n in followers),
+            "records received",
+        )
+        assert leader.replica.state.log.durable_index >= before
+        assert not pending.done()
+        assert leader.replica.commit_index == before
+        followers[0].file_system.fsync_gate.set()
+        assert await pending == b"result of waits"
+        followers[1].file_system.fsync_gate.set()
+
+
+async def propose_until_failure(cluster: Cluster, node: Node, count: int) -> None:
+    for _ in range(count):
+        cluster.proposed += 1
+        payload = f"p{cluster.proposed}"
+        try:
+            await node.replica.propose(payload.encode())
+        except (NotLeaderError, ProposalUnknownError, StorageFailedError):
+            return
+        cluster.acknowledged.append(payload)
+
+
+@pytest.mark.parametrize("mode", CrashMode)
+@pytest.mark.parametrize("victim", ["leader", "follower", "all"])
+async def test_crash_at_each_step_of_an_append(victim: str, mode: CrashMode) -> None:
+    async with Cluster(3, segment_bytes=100) as cluster:
+        # Two appends take about 6 file operations on each replica.
+        for operations in range(8):
+            leader = await cluster.leader()
+            chosen = {
+                "leader": [leader],
+                "follower": [next(n for n in cluster.nodes if n is not leader)],
+                "all": cluster.nodes,
+            }[victim]
+            for node in chosen:
+                node.file_system.stop_after = node.file_system.operations + operations
+            proposals = asyncio.create_task(propose_until_failure(cluster, leader, 3))
+            if victim == "follower":
+                await proposals
+            for node in chosen:
+                await node.replica.wait_failed() if victim == "leader" else None
+                await node.kill()
+            await proposals
+            for node in chosen:
+                await node.restart(mode)
+            await cluster.check()
+
+
+async def test_two_of_five_are_lost_with_their_disks() -> None:
+    async with Cluster(5) as cluster:
+        for _ in range(5):
+            await cluster.propose()
+        leader = await cluster.leader()
+        follower = next(node for node in cluster.nodes if node is not leader)
+        await asyncio.gather(leader.kill(), follower.kill())
+        await cluster.check()
+
+
+@pytest.mark.parametrize("promoted", [False, True])
+async def test_second_replica_is_lost_right_after_a_repair(promoted: bool) -> None:
+    async with Cluster(5) as cluster:
+        await cluster.propose()
+        leader = await cluster.leader()
+        lost, *others = [node for node in cluster.nodes if node is not leader]
+        await lost.kill()
+        await cluster.propose()
+        await lost.restart_empty()
+        member = Member(lost.replica.identity, lost.member.address, "domain")
+        leader = await cluster.leader()
+        await leader.replica.replace_replica(lost.settings.replica, member)
+        if not promoted:
+            # Four voters are left, of which one may be lost.
+            await leader.kill()
+            await cluster.check()
+            return
+        await cluster.wait(
+            lambda: lost.replica.identity in leader.replica.membership.voters
+            and leader.replica.commit_index >= leader.replica.state.history.index,
+            "promotion",
+        )
+        await asyncio.gather(leader.kill(), others[0].kill())
+        await cluster.check()
+
+
+@pytest.mark.parametrize("threshold", [10_000, 50], ids=["log", "snapshot"])
+async def test_replica_returns_after_500_records(threshold: int) -> None:
+    async with Cluster(3, snapshot_threshold=threshold, snapshot_trailing=10) as cluster:
+        leader = await cluster.leader()
+        away = next(node for node in cluster.nodes if node is not leader)
+        await cluster.propose()
+        await away.kill()
+        for _ in range(10):
+            await asyncio.gather(*(cluster.propose() for _ in range(50)))
+        await away.restart()
+        await cluster.check()
+        assert (away.machine.restored > 0) is (threshold == 50)
+        # A restart reads the same state from the snapshot and the log.
+        await away.kill()
+        await away.restart(CrashMode.KILLED)
+        await cluster.check()
+
+
+async def test_snapshot_transfer_is_cut_and_starts_again() -> None:
+    async with Cluster(
+        3, snapshot_threshold=20, snapshot_trailing=2, snapshot_chunk_bytes=16
+    ) as cluster:
+        leader = await cluster.leader()
+        away = next(node for node in cluster.nodes if node is not leader)
+        await away.kill()
+        for _ in range(60):
+            await cluster.propose()
+        cluster.network.cut_snapshots_after = 3
+        await away.restart()
+        await cluster.propose()
+        assert away.machine.restored == 0
+        cluster.network.cut_snapshots_after = None
+        await cluster.check()
+        assert away.machine.restored == 1
+
+
+async def test_truncated_records_of_a_deposed_leader() -> None:
+    async with Cluster(3) as cluster:
+        old = await cluster.leader()
+        await cluster.propose()
+        cluster.network.isolate(old.member.address)
+        pending = [asyncio.create_task(old.replica.propose(b"x%d" % n)) for n in range(5)]
+        others = [node for node in cluster.nodes if node is not old]
+        for _ in range(3):
+            await cluster.propose(of=others)
+        cluster.network.heal()
+        results = await asyncio.gather(*pending, return_exceptions=True)
+        assert all(isinstance(result, ProposalUnknownError) for result in results)
+        await cluster.check()
+        assert not any(payload.startswith("x") for payload in old.machine.applied)
+
+
+async def test_failed_fsync_ends_the_replica() -> None:
+    async with Cluster(3) as cluster:
+        leader = await cluster.leader()
+        leader.file_system.fsync_fails = True
+        with pytest.raises((ProposalUnknownError, StorageFailedError)):
+            await leader.replica.propose(b"x")
+        assert isinstance(await leader.replica.wait_failed(), StorageFailedError)
+        assert not leader.replica.is_leader
+        await leader.kill()
+        await cluster.check()
+
+
+async def test_payload_above_the_limit_is_not_appended() -> None:
+    async with Cluster(1, payload_max_bytes=10) as cluster:
+        leader = await cluster.leader()
+        before = leader.replica.last_index
+        with pytest.raises(ProposalTooLargeError):
+            await leader.replica.propose(b"x" * 11)
+        assert leader.replica.last_index == before
