Measure limits and fairness; pace requests below a limit of one

Cause: with ten entries a limit of one request each still exceeds the slots. Change: the limit may fall to 0.1 with requests spaced in time; the increase is in proportion below 1; slow means a recent mean above twice the long-term mean. Ties of unused servers are broken at random.

--- a/packages/medlarpass/src/medlarpass/dispatch/balancer.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/balancer.py
@@ -71,7 +71,8 @@
             for each in drawn
             if costs[each.identity] <= least + self.settings.tolerance / each.slots
         ]
-        return min(equal, key=lambda each: self._load(each).sent_at)
+        # Entries that start together must not all begin with the first server.
+        return min(equal, key=lambda each: (self._load(each).sent_at, self.rng.random()))
 
     def estimate(self, candidate: Candidate, usual: float | None, now: float) -> float:
         """Return the estimated number of requests in flight at a server.
@@ -132,7 +133,10 @@
             del self.loads[server]
 
     def _load(self, candidate: Candidate) -> ServerLoad:
-        return self.loads.setdefault(candidate.identity, ServerLoad())
+        load = self.loads.get(candidate.identity)
+        if load is None:
+            load = self.loads[candidate.identity] = ServerLoad()
+        return load
 
     def _end(self, attempt: Attempt) -> ServerLoad | None:
         """Remove an attempt; return None if it has ended before."""
@@ -160,6 +164,8 @@
 
     def _draw(self, welcome: list[Candidate], usual: float | None, now: float) -> list[Candidate]:
         """Draw distinct candidates with probability in proportion to weighted free slots."""
+        if len(welcome) <= self.settings.choices:
+            return welcome
         pool = list(welcome)
         free = [
             max(each.slots - self.estimate(each, usual, now), LEAST_FREE) * each.weight
--- a/packages/medlarpass/src/medlarpass/dispatch/settings.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/settings.py
@@ -66,25 +66,40 @@
 class LimiterSettings(Value):
     """Settings of ``ConcurrencyLimiter``.
 
-    :param decrease: factor applied to the limit after a refusal or a slow answer
-    :param increase: amount by which one full window of good answers raises the limit
-    :param slow_ratio: an answer slower than this multiple of the baseline counts as slow
-    :param baseline_drift: share by which the baseline follows slower answers
+    :param decrease: factor applied to the limit after a refusal or slow answers
+    :param increase: part of a request by which one full window of good answers raises the limit.
+        Below a limit of 1 the increase is in proportion to the limit: with a constant one the
+        limit rose faster than refusals could lower it
+    :param least: lower bound of the limit; below 1 requests are spaced in time
+    :param slow_ratio: ratio of the recent to the long-term mean latency that counts as slow
+    :param recent_weight: share of the newest sample in the recent mean
+    :param mean_weight: share of the newest sample in the long-term mean
     """
 
-    __slots__ = ("baseline_drift", "decrease", "increase", "slow_ratio")
+    __slots__ = (
+        "decrease",
+        "increase",
+        "least",
+        "mean_weight",
+        "recent_weight",
+        "slow_ratio",
+    )
 
     def __init__(
         self,
         decrease: float = 0.7,
-        increase: float = 1.0,
-        slow_ratio: float = 4.0,
-        baseline_drift: float = 0.02,
+        increase: float = 0.05,
+        least: float = 0.1,
+        slow_ratio: float = 2.0,
+        recent_weight: float = 0.2,
+        mean_weight: float = 0.02,
     ) -> None:
         self.decrease = decrease
         self.increase = increase
+        self.least = least
         self.slow_ratio = slow_ratio
-        self.baseline_drift = baseline_drift
+        self.recent_weight = recent_weight
+        self.mean_weight = mean_weight
 
 
 class QueueSettings(Value):
