Name address translations as a list of sections

Cause: a mapping with free keys can not be described key by key. Change: address_translation lists address and via.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/daemon.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/daemon.py
@@ -38,7 +38,9 @@
         self.platform = ListenerSettings(document["platform"])
         self.security = SecuritySettings(document["security"])
         #: Addresses of other processes and servers that are reached from here by another one.
-        self.address_translation: dict[str, str] = document["address_translation"]
+        self.address_translation: dict[str, str] = {
+            item["address"]: item["via"] for item in document.get("address_translation", [])
+        }
         roles = document["roles"]
         self.entry = EntrySettings(document["entry"]) if "entry" in roles else None
         self.control = ControlSettings(document["control"]) if "control" in roles else None
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -83,6 +83,8 @@
     vol.Required("address"): endpoint,
 }
 
+TRANSLATION = {vol.Required("address"): endpoint, vol.Required("via"): endpoint}
+
 BETWEEN_PROCESSES = vol.Any(
     {vol.Required("mode"): "unauthenticated"},
     {
@@ -136,7 +138,7 @@
             vol.Required("between_processes"): BETWEEN_PROCESSES,
             vol.Optional("operators"): OPERATORS,
         },
-        vol.Optional("address_translation", default=dict): {endpoint: endpoint},
+        vol.Optional("address_translation", default=list): [TRANSLATION],
         vol.Optional("entry"): ENTRY,
         vol.Optional("control"): CONTROL,
         vol.Optional("stop", default=dict): {
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -245,16 +245,19 @@
         }
         return settings
 
-    def _translation(self, node: Node) -> dict[str, str]:
+    def _translation(self, node: Node) -> list[dict[str, str]]:
         """Return the relays that traffic from a process to other domains goes through."""
         targets = [(each.domain, each.rpc) for each in self.nodes]
         for group in self.groups.values():
             targets += [(group.domain, port) for port in group.identities.values()]
-        return {
-            _endpoint(port): _endpoint(self.relays.add(node.domain, domain, port))
+        return [
+            {
+                "address": _endpoint(port),
+                "via": _endpoint(self.relays.add(node.domain, domain, port)),
+            }
             for domain, port in targets
             if domain != node.domain
-        }
+        ]
 
 
 def _listener(port: int) -> dict[str, Any]:
