Isolate hot keys that the entries find

Cause: a hot key moved only with its whole shard and could not be balanced. Conclusion: decisions stay with the coordinator, which knows all entries.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/grant_planner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/grant_planner.py
@@ -4,9 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.ownership import Assignment
 from medlarpass.ownership import Candidate
 from medlarpass.ownership import Placement
 from medlarpass.ownership import PlacementSettings
+from medlarpass.ownership import shard_of
+from medlarpass.ownership.exceptions import GrantError
+from medlarpass.ownership.hot_key_policy import HotKeyPolicy
+from medlarpass.ownership.hot_key_policy import HotKeySettings
 from medlarpass.registry import ServerState
 from medlarpass.rpc import control_pb2
 
@@ -14,7 +19,6 @@
     from collections.abc import Mapping
 
     from medlarpass import Clock
-    from medlarpass.ownership import Assignment
     from medlarpass.ownership import Coordinator
     from medlarpass.registry import Presence
     from medlarpass.registry import ServerRegistry
@@ -36,7 +40,16 @@
     :param clock: clock of this process
     """
 
-    __slots__ = ("balanced_at", "clock", "coordinator", "loads", "placements", "registry")
+    __slots__ = (
+        "balanced_at",
+        "clock",
+        "coordinator",
+        "hot_keys",
+        "loads",
+        "merging",
+        "placements",
+        "registry",
+    )
 
     def __init__(
         self,
@@ -50,11 +63,16 @@
         self.loads = loads
         self.clock = clock
         self.placements: dict[str, Placement] = {}
+        self.hot_keys: dict[str, HotKeyPolicy] = {}
+        #: Isolated keys that are on their way back to their shards; they get no new owner.
+        self.merging: set[Assignment] = set()
         self.balanced_at: dict[str, float] = {}
 
     def reset(self) -> None:
         """Forget the placements of an earlier term of office."""
         self.placements.clear()
+        self.hot_keys.clear()
+        self.merging.clear()
         self.balanced_at.clear()
 
     def plan(self, pools: Mapping[str, Pool]) -> bool:
@@ -94,14 +112,76 @@
         if not grantable and not due and draining.isdisjoint(owners.values()):
             return False
         self.balanced_at[pool.name] = self.clock.now()
-        known: dict[Assignment, str | None] = {**owners, **dict.fromkeys(grantable)}
-        plan = self._placement(pool).plan(known, candidates, self.loads.of_pool(pool.name))
+        started = self._plan_hot_keys(pool, len(candidates)) if due else False
+        free = [assignment for assignment in grantable if assignment not in self.merging]
+        known: dict[Assignment, str | None] = {**owners, **dict.fromkeys(free)}
+        plan = self._placement(pool).plan(known, candidates, self._assignment_loads(pool))
         for assignment, server in plan.items():
             if assignment in owners:
                 self.coordinator.grants.start_release(assignment)
             else:
                 self._grant(assignment, server)
-        return not owners.keys().isdisjoint(plan)
+        return started or not owners.keys().isdisjoint(plan)
+
+    def _plan_hot_keys(self, pool: Pool, servers: int) -> bool:
+        isolated = self._isolated(pool.name)
+        mean_load = sum(self.loads.of_pool(pool.name).values()) / max(1, servers)
+        plan = self._hot_key_policy(pool).plan(
+            self.loads.hot_keys(pool.name), isolated.keys(), mean_load
+        )
+        grants = self.coordinator.grants
+        for key in plan.isolate:
+            shard = shard_of(pool.name, key, pool.shards)
+            if (pool.name, shard) in grants.delegations and not grants.epochs_pending:
+                self._isolate(pool.name, shard, key)
+        self.merging.update(isolated[key] for key in plan.merge)
+        released = [self._merge(each) for each in list(self.merging)]
+        return any(released) or bool(plan.isolate)
+
+    def _isolate(self, pool: str, shard: int, key: str) -> None:
+        try:
+            self.coordinator.grants.isolate(pool, shard, key)
+        except GrantError:
+            # The shard is on its way to another domain, where the key will be found hot again.
+            return
+
+    def _merge(self, assignment: Assignment) -> bool:
+        grant = self.coordinator.grants.grants.get(assignment)
+        if grant is not None and grant.is_live:
+            if grant.releasing:
+                return False
+            self.coordinator.grants.start_release(assignment)
+            return True
+        if grant is not None:
+            self.coordinator.grants.merge(assignment)
+        self.merging.discard(assignment)
+        return False
+
+    def _isolated(self, pool: str) -> dict[str, Assignment]:
+        grants = self.coordinator.grants
+        return {
+            each.key: each
+            for each in (*grants.grants, *grants.carving)
+            if each.pool == pool and each.key is not None and each not in self.merging
+        }
+
+    def _assignment_loads(self, pool: Pool) -> dict[Assignment, float]:
+        """Return the load of each assignment, with isolated keys apart from their shards."""
+        loads = self.loads.of_pool(pool.name)
+        rates = self.loads.hot_keys(pool.name)
+        for key, assignment in self._isolated(pool.name).items():
+            rate = rates.get(key, 0.0)
+            loads[assignment] = rate
+            if assignment.whole in loads:
+                loads[assignment.whole] = max(0.0, loads[assignment.whole] - rate)
+        return loads
+
+    def _hot_key_policy(self, pool: Pool) -> HotKeyPolicy:
+        policy = self.hot_keys.get(pool.name)
+        if policy is None:
+            policy = HotKeyPolicy(HotKeySettings(), self.clock)
+            self.hot_keys[pool.name] = policy
+        return policy
 
     def _grant(self, assignment: Assignment, server: str) -> None:
         presence = self.registry.presences[server]
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/own_loads.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/own_loads.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.dispatch import HotKeySketch
+from medlarpass.dispatch import SketchSettings
 from medlarpass.ownership import shard_of
 from medlarpass.rpc import domain_pb2
 
@@ -20,20 +22,25 @@
 LEAST_RATE = 0.05
 
 
+#: Keys of each pool in a report: the 30 hottest with some reserve.
+REPORTED_KEYS = 40
+
+
 class OwnLoads:
-    """Request rates of shards and in-flight requests of servers.
+    """Request rates of shards and hot keys, and in-flight requests of servers.
 
     :param store: configuration in force
     :param clock: clock of this process
     """
 
-    __slots__ = ("clock", "counts", "rates", "started_at", "store")
+    __slots__ = ("clock", "counts", "rates", "sketches", "started_at", "store")
 
     def __init__(self, store: ConfigurationStore, clock: Clock) -> None:
         self.store = store
         self.clock = clock
         self.counts: dict[tuple[str, int], int] = {}
         self.rates: dict[tuple[str, int], float] = {}
+        self.sketches: dict[str, HotKeySketch] = {}
         self.started_at = clock.now()
 
     def count(self, pool: str, key: str) -> None:
@@ -45,6 +52,11 @@
         shards = self.store.pools[pool].shards
         shard = (pool, shard_of(pool, key, shards))
         self.counts[shard] = self.counts.get(shard, 0) + 1
+        sketch = self.sketches.get(pool)
+        if sketch is None:
+            sketch = HotKeySketch(SketchSettings(), self.clock)
+            self.sketches[pool] = sketch
+        sketch.add(key)
 
     def fill(self, report: domain_pb2.PeerReport, callers: CallersServer) -> None:
         """Add the load to a report.
@@ -57,6 +69,12 @@
             report.shard_loads.append(
                 domain_pb2.ShardLoad(pool=pool, shard=shard, requests_per_second=rate)
             )
+        for pool, sketch in self.sketches.items():
+            for hot in sketch.report(REPORTED_KEYS).keys:
+                if hot.rate >= LEAST_RATE:
+                    report.hot_keys.append(
+                        domain_pb2.KeyLoad(pool=pool, key=hot.key, requests_per_second=hot.rate)
+                    )
         for identity, limiter in callers.path.places.limiters.items():
             if limiter.in_flight:
                 report.loads.append(
