Test downloads, headers, limits and the planned stop of the request path

The new tests found four faults, which are corrected: an aborted connection ended with a regular close, which an HTTP/1.0 caller takes for the end of the body, so it is now reset; idle connections outlived a planned stop by 15 s, because closing the protocol of aiohttp does not close its transport; a waiting request could fail when two others left the same server; the loads told by peers were taken as a server's own report, which the balancer bounds to one request.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -149,7 +149,7 @@
             if connection in self.active:
                 continue
             if connection in before:
-                connection.close()
+                connection.force_close()
             idle.add(connection)
         return idle
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -6,6 +6,7 @@
 import random
 
 from typing import TYPE_CHECKING
+from typing import cast
 
 from medlarpass.dispatch import Balancer
 from medlarpass.dispatch import BalancerSettings
@@ -24,6 +25,7 @@
     from collections.abc import Set
 
     from medlarpass import Clock
+    from medlarpass.dispatch import PeerLoads as ReportedLoads
     from medlarpass_daemon.entry.callers.interfaces import PeerLoads
     from medlarpass_daemon.entry.callers.interfaces import Target
 
@@ -39,12 +41,13 @@
     :param clock: source of time
     """
 
-    __slots__ = ("balancer", "clock", "ejector", "limiters", "peer_loads", "waiting")
+    __slots__ = ("balancer", "clock", "ejector", "limiters", "waiting")
 
     def __init__(self, peer_loads: PeerLoads, clock: Clock) -> None:
         self.clock = clock
-        self.peer_loads = peer_loads
         self.balancer = Balancer(BalancerSettings(), clock, random.Random())
+        # The balancer only asks for the requests in flight.
+        self.balancer.peers = cast("ReportedLoads", peer_loads)
         self.ejector = Ejector(EjectorSettings(), clock)
         self.limiters: dict[str, ConcurrencyLimiter] = {}
         self.waiting: dict[str, dict[asyncio.Future[None], None]] = {}
@@ -105,13 +108,11 @@
         if len(targets) == 1:
             # The owner of a key can't be replaced, whatever its health.
             return free[0]
-        now = self.clock.now()
         candidates = [
             Candidate(
                 target.identity,
                 target.slots,
                 self.ejector.weight(target.identity),
-                round(self.peer_loads.in_flight(target.identity, now)),
             )
             for target in free
         ]
@@ -138,7 +139,7 @@
             await asyncio.wait([turn], timeout=timeout)
         finally:
             for identity in identities:
-                waiting = self.waiting[identity]
+                waiting = self.waiting.get(identity, {})
                 waiting.pop(turn, None)
                 if not waiting:
-                    del self.waiting[identity]
+                    self.waiting.pop(identity, None)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/relay.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/relay.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 
 from typing import TYPE_CHECKING
 from typing import Any
@@ -21,6 +23,8 @@
     from medlarpass_daemon.entry.callers.delivery import Delivery
     from medlarpass_daemon.entry.callers.request_path import RequestPath
 
+NO_LINGER = struct.pack("ii", 1, 0)
+
 
 async def relay(
     path: RequestPath, request: CallerRequest, delivery: Delivery
@@ -97,6 +101,18 @@
     ANSWER_ABORTED.log(
         route=request.route.name, request_id=request.request_id, error=type(error).__name__
     )
-    transport = request.web.transport
-    if transport is not None:
-        transport.abort()
+    _reset(request.web.transport)
+
+
+def _reset(transport: asyncio.Transport | None) -> None:
+    """End a connection with a reset.
+
+    Closing it would look like the regular end of a body that has no length, as HTTP/1.0 callers
+    get it.
+    """
+    if transport is None:
+        return
+    connection = transport.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
--- /dev/null
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_download_flow.py
@@ -0,0 +1,244 @@
+"""Downloads pass whole or visibly broken."""
+
+from __future__ import annotations
+
+import asyncio
+import gzip
+
+from typing import Any
+
+import pytest
+
+
+async def test_range_and_head_pass_through(world: Any, kit: Any) -> None:
+    """Guards against a range that is lost, and against a body after the answer to HEAD."""
+    partial = kit.answer(b"cde", "206 Partial Content", "Content-Range: bytes 2-4/10\r\n")
+    head = kit.answer(b"", "200 OK", "Accept-Ranges: bytes\r\n", length=10)
+    server = await world.server(kit.replying(partial), kit.replying(head), kit.replying(partial))
+    await world.entry()
+    for _ in range(2):
+        reply = await world.ask("/art/a.pdf", headers={"Range": "bytes=2-4"})
+        assert (reply.status, reply.body) == (206, b"cde")
+        assert reply.headers["Content-Range"] == "bytes 2-4/10"
+        reply = await world.ask("/art/a.pdf", "HEAD")
+        assert (reply.status, reply.headers["Content-Length"], reply.body) == (200, "10", b"")
+        server.behaviours = [kit.replying(partial), kit.replying(head)] * 3
+    assert server.seen[0].headers["Range"] == "bytes=2-4"
+    assert server.connections == 1
+
+
+@pytest.mark.parametrize("status", ["204 No Content", "304 Not Modified"])
+async def test_status_without_body_passes(world: Any, status: str) -> None:
+    """Guards against a caller that waits for a body that never comes."""
+
+    async def behave(request: Any, reader: Any, writer: Any) -> None:
+        writer.write(f'HTTP/1.1 {status}\r\nETag: "a"\r\n\r\n'.encode())
+
+    server = await world.server(behave)
+    await world.entry()
+    for _ in range(2):
+        reply = await world.ask("/art/a.pdf")
+        assert (f"{reply.status}", reply.body) == (status[:3], b"")
+        assert reply.headers["ETag"] == '"a"'
+    assert server.connections == 1
+
+
+async def test_redirect_cookie_and_gzip_pass_untouched(world: Any, kit: Any) -> None:
+    """Guards against a library that follows, stores or decodes what belongs to the caller."""
+    packed = gzip.compress(b"map")
+    redirect = kit.answer(b"", "302 Found", "Location: /art/b\r\nSet-Cookie: a=1\r\n")
+    both = "Content-Encoding: gzip\r\nSet-Cookie: b=2; Path=/\r\nSet-Cookie: c=3\r\n"
+    server = await world.server(
+        kit.replying(redirect), kit.replying(kit.answer(packed, "200 OK", both))
+    )
+    await world.entry()
+    reply = await world.ask("/art/a")
+    assert (reply.status, reply.headers["Location"]) == (302, "/art/b")
+    assert len(server.seen) == 1
+    reply = await world.ask("/art/b")
+    assert reply.body == packed
+    assert reply.headers["Content-Encoding"] == "gzip"
+    assert reply.headers.getall("Set-Cookie") == ["b=2; Path=/", "c=3"]
+    assert "Cookie" not in server.seen[1].headers
+    assert "Accept-Encoding" in server.seen[1].headers  # The caller's own.
+
+
+async def test_compressed_request_body_passes_untouched(world: Any) -> None:
+    """Guards against a body that is unpacked while its Content-Encoding stays."""
+    packed = gzip.compress(b"map")
+    server = await world.server()
+    await world.entry()
+    reader, writer = await world.connect()
+    writer.write(
+        b"PUT /art/a HTTP/1.1\r\nHost: x\r\nContent-Encoding: gzip\r\n"
+        + f"Content-Length: {len(packed)}\r\n\r\n".encode()
+        + packed
+    )
+    await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    assert server.seen[0].body == packed
+
+
+CUT = {
+    "short of its length": b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + b"x" * 100_000,
+    "without last chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"186a0\r\n"
+    + b"x" * 100_000
+    + b"\r\n",
+}
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+@pytest.mark.parametrize("cut", CUT)
+async def test_cut_body_aborts_callers_connection(
+    world: Any, kit: Any, cut: str, version: bytes
+) -> None:
+    """Guards against a part of a body taken for the whole (G3)."""
+    release = asyncio.Event()
+
+    async def behave(request: Any, reader: Any, writer: Any) -> None:
+        writer.write(CUT[cut])
+        await release.wait()
+        writer.close()
+
+    await world.server(behave)
+    entry = await world.entry()
+    reader, writer = await world.connect()
+    writer.write(b"GET /art/a HTTP/" + version + b"\r\nHost: x\r\n\r\n")
+    head = await reader.readuntil(b"\r\n\r\n")
+    await reader.readexactly(50_000)
+    release.set()
+    with pytest.raises(ConnectionError):
+        await reader.read()
+    assert b"200" in head
+    await world.until(lambda: entry.in_flight == 0)
+    counted = entry.metrics.requests.labels("art", "unknown")
+    assert counted._value.get() == 1
+
+
+async def test_cut_before_first_byte_is_retried(world: Any, kit: Any) -> None:
+    """Guards against a failed download that another server could answer."""
+    for _ in range(2):
+        await world.server(kit.replying(kit.answer(b"", length=9), closes=True))
+    await world.entry()
+    world.allow_retries("art")
+    whole = kit.replying(kit.answer(b"whole"))
+    for index in range(2):
+        broken = kit.replying(kit.answer(b"", length=9), closes=True)
+        world.stand_ins[index].behaviours = [broken]
+        world.stand_ins[1 - index].behaviours = [whole]
+        for _ in range(2):
+            assert (await world.ask("/art/a")).body == b"whole"
+
+
+async def test_no_retry_after_first_byte(world: Any, kit: Any) -> None:
+    """Guards against two answers mixed into one body."""
+    for _ in range(2):
+        await world.server(kit.replying(kit.answer(b"x" * 100_000, length=200_000), closes=True))
+    await world.entry()
+    world.allow_retries("art")
+    reader, writer = await world.connect()
+    writer.write(b"GET /art/a HTTP/1.1\r\nHost: x\r\n\r\n")
+    with pytest.raises(ConnectionError):
+        await reader.read()
+    assert sum(len(server.seen) for server in world.stand_ins) == 1
+
+
+async def test_deadline_in_body_aborts_callers_connection(world: Any, kit: Any) -> None:
+    """Guards against a download without end that is past its deadline."""
+
+    async def stall(request: Any, reader: Any, writer: Any) -> None:
+        writer.write(kit.answer(b"x" * 10, length=20))
+        await asyncio.sleep(60)
+
+    await world.server(stall)
+    await world.entry()
+    reader, writer = await world.connect()
+    writer.write(b"GET /art/a HTTP/1.1\r\nHost: x\r\nMedlarpass-Deadline-Ms: 300\r\n\r\n")
+    with pytest.raises(ConnectionError):
+        await asyncio.wait_for(reader.read(), 20)
+
+
+async def test_caller_gone_in_answer_cancels_download_at_server(world: Any, kit: Any) -> None:
+    """Guards against a server that sends a long body to nobody."""
+
+    async def endless(request: Any, reader: Any, writer: Any) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n")
+        while True:
+            writer.write(b"x" * 65536)
+            await writer.drain()
+
+    server = await world.server(endless)
+    entry = await world.entry()
+    reader, writer = await world.connect()
+    writer.write(b"GET /art/a HTTP/1.1\r\nHost: x\r\n\r\n")
+    await reader.readexactly(1 << 20)
+    writer.transport.abort()
+    await asyncio.wait_for(server.broken.wait(), 20)
+    await world.until(lambda: entry.in_flight == 0)
+
+
+async def test_caller_gone_in_its_body_cancels_request_at_server(world: Any) -> None:
+    """Guards against a part of a caller's body taken for the whole by the server."""
+    server = await world.server()
+    entry = await world.entry()
+    _, writer = await world.connect()
+    writer.write(b"PUT /art/a HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 5000)
+    await world.until(lambda: server.seen)
+    writer.close()
+    await asyncio.wait_for(server.broken.wait(), 20)
+    await world.until(lambda: entry.in_flight == 0)
+
+
+async def test_streamed_body_is_not_sent_twice(world: Any, kit: Any) -> None:
+    """Guards against a retry with the rest of a body of which a part was sent."""
+    for _ in range(2):
+        await world.server(kit.resetting)
+    await world.entry()
+    world.allow_retries("art")
+    reply = await world.ask("/art/a", "PUT", data=b"x" * 500_000)
+    assert (reply.status, reply.document["outcome"]) == (502, "unknown")
+    assert sum(len(server.seen) for server in world.stand_ins) == 1
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunks"])
+@pytest.mark.parametrize("size", [0, 1, 70_000, 3_000_000])
+async def test_bodies_pass_unchanged(world: Any, kit: Any, size: int, chunked: bool) -> None:
+    """Guards against bytes lost or repeated in either direction."""
+    data = bytes(index * 7 % 251 for index in range(size))
+
+    async def echo(request: Any, reader: Any, writer: Any) -> None:
+        if not chunked:
+            writer.write(kit.answer(request.body))
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for start in range(0, len(request.body), 50_000):
+            part = request.body[start : start + 50_000]
+            writer.write(f"{len(part):x}\r\n".encode() + part + b"\r\n")
+        writer.write(b"0\r\n\r\n")
+
+    async def parts() -> Any:
+        for start in range(0, size, 30_000):
+            yield data[start : start + 30_000]
+
+    await world.server(echo)
+    await world.entry()
+    for _ in range(2):
+        reply = await world.ask("/art/a", "PUT", data=parts() if chunked else data)
+        assert (reply.status, reply.body) == (200, data)
+
+
+async def test_continue_is_sent_when_body_is_wanted(world: Any) -> None:
+    """Guards against a caller that waits for permission to send its body."""
+    server = await world.server()
+    await world.entry()
+    reader, writer = await world.connect()
+    writer.write(
+        b"PUT /art/a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+    )
+    assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+    writer.write(b"body")
+    assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 OK")
+    assert server.seen[0].body == b"body"
+    assert "Expect" not in server.seen[0].headers
+    writer.close()
