--- a/packages/medlarpass/tests/replication/test_replica_elections.py
+++ b/packages/medlarpass/tests/replication/test_replica_elections.py
@@ -108,6 +108,35 @@
             await old.replica.propose(b"late")
 
 
+async def test_proposal_during_a_transfer_is_refused() -> None:
+    async with Cluster(3, clock=ManualClock, transfer_timeout=0.2) as cluster:
+        await cluster.nodes[0].replica.election.campaign()
+        leader = await cluster.leader()
+        cluster.network.isolate(leader.member.address)
+        pending = asyncio.create_task(leader.replica.propose(b"keeps the transfer waiting"))
+        stop = asyncio.create_task(leader.replica.stop(hand_over=True))
+        await asyncio.sleep(0)
+        assert leader.replica.is_leader
+        with pytest.raises(NotLeaderError):
+            await leader.replica.propose(b"refused")
+        await stop
+        leader.running = False
+        with pytest.raises(ProposalUnknownError):
+            await pending
+
+
+async def test_vote_survives_a_restart() -> None:
+    async with Cluster(3, clock=ManualClock) as cluster:
+        voter = cluster.nodes[1]
+        request = VoteRequest(term=9, candidate="r2", receiver="r1")
+        assert (await voter.replica.handle_vote(request)).granted
+        await voter.kill()
+        await voter.restart()
+        assert voter.replica.term == 9
+        request.candidate = "r0"
+        assert not (await voter.replica.handle_vote(request)).granted
+
+
 @pytest.mark.parametrize("pre_vote", [False, True])
 async def test_vote_is_refused_for_a_shorter_log_or_another_identity(pre_vote: bool) -> None:
     async with Cluster(3, clock=ManualClock) as cluster:
--- a/packages/medlarpass/tests/replication/test_replica_log.py
+++ b/packages/medlarpass/tests/replication/test_replica_log.py
@@ -4,17 +4,28 @@
 
 import asyncio
 
+from typing import TYPE_CHECKING
+from typing import cast
+
 import pytest
 
+from medlarpass import ManualClock
 from medlarpass.replication import Member
 from medlarpass.replication import NotLeaderError
 from medlarpass.replication import ProposalTooLargeError
 from medlarpass.replication import ProposalUnknownError
+from medlarpass.replication import SnapshotTransferError
 from medlarpass.replication import StorageFailedError
+from medlarpass.rpc.replication_pb2 import AppendRequest
+from medlarpass.rpc.replication_pb2 import LogEntry
+from medlarpass.rpc.replication_pb2 import SnapshotChunk
 from packages.medlarpass.tests.replication.memory_file_system import CrashMode
 from packages.medlarpass.tests.replication.replica_cluster import Cluster
 from packages.medlarpass.tests.replication.replica_cluster import Node
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 
 async def test_lost_repeated_and_reordered_calls() -> None:
     async with Cluster(3) as cluster:
@@ -53,6 +64,69 @@
         followers[1].file_system.fsync_gate.set()
 
 
+async def test_leader_counts_itself_only_after_its_own_fsync() -> None:
+    async with Cluster(3, clock=ManualClock) as cluster:
+        await cluster.nodes[0].replica.election.campaign()
+        leader = await cluster.leader()
+        cluster.network.isolate(cluster.nodes[2].member.address)
+        leader.file_system.fsync_gate.clear()
+        pending = asyncio.create_task(leader.replica.propose(b"waits"))
+        leadership = leader.replica.state.leadership
+        assert leadership is not None
+        await cluster.wait(lambda: leadership.peers["r1"].match_index == 2)
+        assert leader.replica.commit_index == 1
+        leader.file_system.fsync_gate.set()
+        assert await pending == b"result of waits"
+
+
+async def test_record_of_an_older_term_is_not_committed_by_counting() -> None:
+    async with Cluster(3, clock=ManualClock) as cluster:
+        node = cluster.nodes[0]
+        await node.replica.election.campaign()
+        await cluster.leader()
+        cluster.network.isolate(node.member.address)
+        pending = asyncio.create_task(node.replica.propose(b"older"))
+        await cluster.wait(lambda: node.replica.last_index == 2)
+        node.replica.state.step_down()
+        await asyncio.gather(pending, return_exceptions=True)
+        cluster.network.heal()
+        for other in cluster.nodes:
+            cast("ManualClock", other.clock).advance(100)
+        await node.replica.election.campaign()
+        cluster.network.isolate(node.member.address)
+        leadership = node.replica.state.leadership
+        assert leadership is not None
+        leadership.peers["r1"].match_index = 2
+        leadership.advance_commit()
+        assert node.replica.commit_index == 1
+
+
+async def test_follower_commits_only_what_the_leader_has_checked() -> None:
+    async with Cluster(3, clock=ManualClock) as cluster:
+        follower = cluster.nodes[1].replica
+        request = AppendRequest(term=1, leader="r0", receiver="r1")
+        request.entries.extend(LogEntry(index=index, term=1) for index in (1, 2, 3))
+        assert (await follower.handle_append(request)).match_index == 3
+        # The records 2 and 3 may differ from those of the new leader.
+        request = AppendRequest(
+            term=2, leader="r2", receiver="r1", previous_index=1, previous_term=1, commit_index=3
+        )
+        assert (await follower.handle_append(request)).success
+        assert follower.commit_index == 1
+
+
+async def test_damaged_snapshot_chunk_is_refused() -> None:
+    async def chunks() -> AsyncIterator[SnapshotChunk]:
+        yield SnapshotChunk(
+            term=1, leader="r0", receiver="r1", last_index=9, data=b"[]", done=True, crc32c=1
+        )
+
+    async with Cluster(3, clock=ManualClock) as cluster:
+        with pytest.raises(SnapshotTransferError):
+            await cluster.nodes[1].replica.handle_snapshot(chunks())
+        assert cluster.nodes[1].replica.commit_index == 0
+
+
 async def propose_until_failure(cluster: Cluster, node: Node, count: int) -> None:
     for _ in range(count):
         cluster.proposed += 1
--- a/packages/medlarpass/tests/replication/test_replica_membership.py
+++ b/packages/medlarpass/tests/replication/test_replica_membership.py
@@ -85,6 +85,7 @@
         await lost.kill()
         await lost.restart(CrashMode.LOST)
         assert lost.replica.identity == member.replica
+        assert lost.replica.membership.find(member.replica) is not None
         await cluster.check()
 
 
