Weight the peers' loads by age as the balancer asks

Cause: the balancer passes the memory of a report as a third argument to in_flight. LoadReports took two, so each order or download of a pool with two or more servers ended in internal_error. The cast in ServerPlaces hides the difference from mypy.

Change: LoadReports.in_flight takes the memory and weights a report as dispatch.PeerLoads does.

Conclusion: entry/callers/interfaces.PeerLoads should declare the argument, so that the cast can go.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/load_reports.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/load_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import exp
 from typing import TYPE_CHECKING
 
 from medlarpass.ownership import Assignment
@@ -30,14 +31,15 @@
         """Replace the report of a peer."""
         self.reports[report.entry] = (self.clock.now(), report)
 
-    def in_flight(self, server: str, now: float) -> float:
-        """Return the peers' requests in flight at a server.
+    def in_flight(self, server: str, now: float, memory: float | None = None) -> float:
+        """Return the peers' requests to a server that are probably still in flight.
 
         :param server: identity of the server
         :param now: reading of the clock
+        :param memory: seconds after which a report counts 1/e; without it reports count in full
         """
         return sum(
-            load.in_flight
+            load.in_flight * (exp(-max(now - at, 0.0) / memory) if memory else 1.0)
             for at, report in self.reports.values()
             if now - at < STALE_AFTER
             for load in report.loads
