--- a/packages/medlarpass/tests/replication/test_replica_log.py
+++ b/packages/medlarpass/tests/replication/test_replica_log.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import cast
 
+import google_crc32c
 import pytest
 
 from medlarpass import ManualClock
@@ -127,6 +128,53 @@
         assert cluster.nodes[1].replica.commit_index == 0
 
 
+async def snapshot_chunks() -> AsyncIterator[SnapshotChunk]:
+    data = b'["a", "b"]'
+    yield SnapshotChunk(
+        term=2,
+        leader="r2",
+        receiver="r1",
+        last_index=3,
+        last_term=2,
+        data=data,
+        done=True,
+        crc32c=google_crc32c.value(data),
+    )
+
+
+@pytest.mark.parametrize("mode", CrashMode)
+async def test_crash_at_each_step_of_a_snapshot_installation(mode: CrashMode) -> None:
+    installed = False
+    operations = 0
+    while not installed:
+        # Each record fills a segment, and all of them contradict the snapshot.
+        async with Cluster(3, clock=ManualClock, segment_bytes=1) as cluster:
+            node = cluster.nodes[1]
+            for index in range(1, 6):
+                request = AppendRequest(
+                    term=1, leader="r0", receiver="r1", previous_index=index - 1
+                )
+                request.previous_term = min(index - 1, 1)
+                request.entries.add(index=index, term=1)
+                assert (await node.replica.handle_append(request)).success
+            node.file_system.stop_after = node.file_system.operations + operations
+            try:
+                installed = (await node.replica.handle_snapshot(snapshot_chunks())).installed
+            except StorageFailedError:
+                await node.replica.wait_failed()
+            await node.kill()
+            await node.restart(mode)
+            replica = node.replica
+            if replica.applied_index == 3:
+                assert node.machine.applied == ["a", "b"]
+                assert (replica.last_index, replica.state.log.last_term) == (3, 2)
+            else:
+                assert not installed
+                assert (replica.applied_index, replica.last_index) == (0, 5)
+            operations += 1
+    assert operations > 15
+
+
 async def propose_until_failure(cluster: Cluster, node: Node, count: int) -> None:
     for _ in range(count):
         cluster.proposed += 1
