--- /dev/null
+++ b/docs/examples/embedding.py
@@ -0,0 +1,118 @@
+"""Sole ownership of keys in a program of one's own, without the daemons.
+
+Three acceptors elect a coordinator; the coordinator grants a shard to a server; the server checks
+each request against its grant. In a real program the three parts run in different processes and
+the calls between them cross a network.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+from medlarpass import BootClock
+from medlarpass.ownership import Assignment
+from medlarpass.ownership import Coordinator
+from medlarpass.ownership import Fence
+from medlarpass.ownership import GrantHolder
+from medlarpass.ownership import LeaseAcceptor
+from medlarpass.ownership import LeaseProposer
+from medlarpass.ownership import shard_of
+from medlarpass.rpc import control_pb2
+from medlarpass.rpc import domain_pb2
+
+if TYPE_CHECKING:
+    from medlarpass import Clock
+
+LEASE_TERM = 0.1
+SESSION_TERM = 0.2
+SHARDS = 8
+POOL = "stock"
+KEY = "roll-42"
+#: Longer than an acceptor's silence after its start.
+START_PAUSE = 0.15
+
+
+class DirectClient:
+    """Calls an acceptor of the same process.
+
+    :param acceptor: acceptor to call
+    """
+
+    def __init__(self, acceptor: LeaseAcceptor) -> None:
+        self.acceptor = acceptor
+
+    async def prepare(self, request: domain_pb2.PrepareRequest) -> domain_pb2.PrepareResponse:
+        """Call ``Prepare``."""
+        return self.acceptor.prepare(request)
+
+    async def accept(self, request: domain_pb2.AcceptRequest) -> domain_pb2.AcceptResponse:
+        """Call ``Accept``."""
+        return self.acceptor.accept(request)
+
+    async def replicate_grants(
+        self, request: domain_pb2.ReplicateGrantsRequest
+    ) -> domain_pb2.ReplicateGrantsResponse:
+        """Call ``ReplicateGrants``."""
+        return self.acceptor.replicate_grants(request)
+
+
+def delegate_everything(coordinator: Coordinator, clock: Clock) -> None:
+    """Stand in for the control log: delegate all shards of the pool to this domain."""
+    response = control_pb2.DomainReportResponse(confirmed=True, new_epochs=True)
+    response.terms.add(pool=POOL, term_ms=10_000)
+    for shard in range(SHARDS):
+        response.delegations.add(pool=POOL, shard=shard, epoch=1)
+    coordinator.grants.apply_report(response, clock.now())
+
+
+async def commit(coordinator: Coordinator, proposer: LeaseProposer) -> None:
+    """Store the grants with a majority and make them visible."""
+    record = coordinator.grants.record(proposer.ballot)
+    if await proposer.replicate(record):
+        coordinator.grants.commit(record.version)
+
+
+async def main() -> None:
+    """Elect a coordinator, grant a shard and check a request."""
+    clock = BootClock()
+    names = ("entry-1", "entry-2", "entry-3")
+    acceptors = {name: DirectClient(LeaseAcceptor(clock, LEASE_TERM)) for name in names}
+    proposer = LeaseProposer("entry-1", 1, acceptors, clock, LEASE_TERM)
+    await asyncio.sleep(START_PAUSE)
+    print("coordinator lease:", await proposer.acquire())
+
+    coordinator = Coordinator(clock, SESSION_TERM, proposer.is_holder)
+    coordinator.elected(proposer.adopted, proposer.ballot, proposer.needs_new_epochs)
+    delegate_everything(coordinator, clock)
+    await commit(coordinator, proposer)
+    # After an election an unknown server may still hold a shard, so one session term passes.
+    for _ in range(5):
+        await asyncio.sleep(SESSION_TERM / 4)
+        await proposer.renew()
+
+    holder = GrantHolder(clock)
+    server = control_pb2.ServerStatus(identity="s1", incarnation=1, ip="127.0.0.1", port=9000)
+    ticket = holder.begin()
+    announced = coordinator.announce(server)
+    assert announced is not None
+    holder.announced(ticket, announced[0].session, announced[1])
+    shard = shard_of(POOL, KEY, SHARDS)
+    grant = coordinator.grants.grant(Assignment(POOL, shard), "s1", 1)
+    await commit(coordinator, proposer)
+
+    ticket = holder.begin()
+    heartbeat = domain_pb2.HeartbeatRequest(
+        identity="s1", incarnation=1, session=ticket.session, seen=ticket.seen, server=server
+    )
+    coordinator.confirm(heartbeat)
+    holder.apply(ticket, coordinator.answer(heartbeat))
+    print("request with the grant's fence:", holder.check(POOL, shard, KEY, grant.fence))
+    print("request with an older fence:", holder.check(POOL, shard, KEY, Fence(0, 1)))
+    await asyncio.sleep(SESSION_TERM)
+    print("request after the session:", holder.check(POOL, shard, KEY, grant.fence))
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
