Simulate fewer kinds of faults at a time and check after each answer

Cause: with every kind of fault at once, shards mostly had no owner, and the simulation found only one of the removed protections. A former coordinator also refused sessions that it did not know, so that a server dropped its grants. Change: each history takes 4 to 12 kinds of faults, entries are cut off one by one, servers freeze, time passes in small steps, and the invariants are checked after each delivered answer. The coordinator ignores releases without the lease. Conclusion: the simulation needs faults that aim at single protections.

--- a/packages/medlarpass/src/medlarpass/ownership/coordinator.py
+++ b/packages/medlarpass/src/medlarpass/ownership/coordinator.py
@@ -90,12 +90,15 @@
         return session, term_ms
 
     def confirm(self, request: pb.HeartbeatRequest) -> None:
-        """Take over what a heartbeat says about released grants.
+        """Take over what a heartbeat says about released grants, if this entry is coordinator.
 
         :param request: heartbeat of a server
         :raises SessionError: the heartbeat is refused
         """
         self.tick()
+        # A former coordinator does not know newer sessions and must not refuse them.
+        if not self._may_answer():
+            return
         self._find(request)
         for item in request.released:
             self.grants.confirm_release(
--- a/packages/medlarpass/tests/ownership/test_coordinator.py
+++ b/packages/medlarpass/tests/ownership/test_coordinator.py
@@ -137,6 +137,7 @@
     """An old coordinator would renew sessions that its successor takes as ended."""
     lease.held = False
     assert not owner.heartbeat(coordinator).coordinator
+    coordinator.confirm(pb.HeartbeatRequest(identity="a", incarnation=1, session="newer"))
     assert coordinator.announce(owner.status()) is None
     assert not coordinator.watch(pb.WatchDomainRequest(), BALLOT).coordinator
 
--- a/packages/medlarpass/tests/ownership/test_domain_simulation.py
+++ b/packages/medlarpass/tests/ownership/test_domain_simulation.py
@@ -49,11 +49,12 @@
 class Link:
     """Calls the acceptor of an entry unless the link is cut."""
 
-    def __init__(self, world: World, index: int) -> None:
-        self.world, self.index = world, index
+    def __init__(self, world: World, source: int, index: int) -> None:
+        self.world, self.source, self.index = world, source, index
 
     def _acceptor(self) -> LeaseAcceptor:
-        if self.index in self.world.cut:
+        ends = {self.source, self.index}
+        if len(ends) == 2 and ends & self.world.cut:
             raise ConnectionError("link is cut")
         return self.world.acceptors[self.index]
 
@@ -109,6 +110,7 @@
         self.clocks: list[tuple[ManualClock, float]] = []
         self.true_ms = 0
         self.cut: set[int] = set()
+        self.frozen: set[int] = set()
         self.ids = 0
         self.entry_clocks = [self.new_clock(rate) for rate in rates[:3]]
         self.acceptors = [LeaseAcceptor(clock, LEASE_TERM) for clock in self.entry_clocks]
@@ -142,7 +144,7 @@
         return f"s{self.ids}"
 
     def new_proposer(self, index: int) -> LeaseProposer:
-        links = {f"e{each}": Link(self, each) for each in range(3)}
+        links = {f"e{each}": Link(self, index, each) for each in range(3)}
         start = 1_000_000 + self.true_ms
         return LeaseProposer(f"e{index}", start, links, self.entry_clocks[index], LEASE_TERM)
 
@@ -352,11 +354,13 @@
         ):
             batch = list(queue)
             queue.clear()
-            if repeat or loss:
-                choice.shuffle(batch)
+            choice.shuffle(batch)
             for item in batch:
                 if choice.random() >= loss:
                     deliver(*item)
+                    # One server may have its answer while another still waits for it.
+                    if queue is self.responses:
+                        self.check()
                 if choice.random() < repeat:
                     queue.append(item)
 
@@ -371,12 +375,32 @@
             self.replicate(index)
             self.grant_all(index, choice)
             self.replicate(index)
-        for process in self.processes:
+        for process in self.active():
             for index in range(3):
-                if self.proposers[index].is_holder():
-                    self.send_heartbeat(process, index)
+                self.send_heartbeat(process, index)
         self.flush(choice, loss, repeat)
 
+    def active(self) -> list[Process]:
+        return [p for number, p in enumerate(self.processes) if number not in self.frozen]
+
+    def watch_closely(self, choice: random.Random) -> None:
+        """Pass 100 ms in small steps, so that shards move as early as the coordinator allows."""
+        for step in range(20):
+            self.advance(5)
+            self.check()
+            for index in range(3):
+                if step % 10 == 0:
+                    self.renew(index)
+                if self.proposers[index].is_holder():
+                    self.grant_all(index, choice)
+                    self.replicate(index)
+            if step % 5 == 0:
+                for process in self.active():
+                    for index in range(3):
+                        self.send_heartbeat(process, index)
+                self.flush(choice)
+                self.check()
+
     def check(self) -> None:
         for shard in range(SHARDS):
             holder = self.table.delegations.get((POOL, shard))
@@ -399,13 +423,12 @@
                         self.highest[shard, key] = fence
 
 
-CHAOS = [
-    "advance",
-    "round",
-    "round",
+BASE = ["round", "round", "round", "closely", "closely", "grant", "advance"]
+FAULTS = [
     "lossy",
     "cut",
-    "heal",
+    "freeze",
+    "thaw",
     "acquire",
     "renew",
     "replicate",
@@ -414,7 +437,6 @@
     "response",
     "report",
     "deliver-report",
-    "grant",
     "release",
     "release-key",
     "isolate",
@@ -429,12 +451,22 @@
     "start-freeing",
     "finish-freeing",
     "leader",
+    "pause",
 ]
 
 
-def disturb(world: World, choice: random.Random) -> None:
-    """Do one random thing."""
-    what = choice.choice(CHAOS)
+def some_faults(choice: random.Random) -> list[str]:
+    """Return the kinds of faults of one history.
+
+    Few kinds at a time reach deeper states than all at once (Groce et al., "Swarm testing", 2012).
+    """
+    kinds = choice.sample(FAULTS, choice.randint(4, 12))
+    return BASE * 2 + kinds + ["heal", "thaw"]
+
+
+def disturb(world: World, choice: random.Random, kinds: list[str]) -> None:
+    """Do one random thing of the given kinds."""
+    what = choice.choice(kinds)
     index, shard = choice.randrange(3), choice.randrange(SHARDS)
     process = choice.choice(world.processes)
     queues = {
@@ -443,7 +475,15 @@
         "deliver-report": (world.reports, world.deliver_report),
     }
     if what == "advance":
-        world.advance(choice.choice((5, 50, 100, 300, 595, 606, 700, 2100)))
+        world.advance(choice.choice((5, 20, 50, 100)))
+    elif what == "pause":
+        world.advance(choice.choice((300, 595, 606, 700, 2100)))
+    elif what == "closely":
+        world.watch_closely(choice)
+    elif what == "freeze":
+        world.frozen.add(choice.randrange(len(world.processes)))
+    elif what == "thaw":
+        world.frozen.clear()
     elif what == "round":
         world.round(choice)
         world.advance(choice.choice((20, 100)))
@@ -522,8 +562,9 @@
     @rule(seed=st.integers(0, 2**32), count=st.integers(1, 30))
     def faults(self, seed: int, count: int) -> None:
         choice = random.Random(seed)
+        kinds = some_faults(choice)
         for _ in range(count):
-            disturb(self.world, choice)
+            disturb(self.world, choice, kinds)
             self.world.check()
 
     @rule(kind=st.sampled_from(["release", "isolate", "merge"]), shard=st.integers(0, SHARDS - 1))
@@ -550,19 +591,20 @@
 TestDomainMachine = DomainMachine.TestCase
 TestDomainMachine.settings = settings(
     derandomize=True,
-    max_examples=40,
+    max_examples=12,
     stateful_step_count=20,
     deadline=None,
     suppress_health_check=list(HealthCheck),
 )
 
 
-@pytest.mark.parametrize("seed", range(60))
+@pytest.mark.parametrize("seed", range(30))
 def test_long_runs_of_faults_keep_one_owner(seed: int) -> None:
     """A long history reaches states that short examples do not."""
     choice = random.Random(seed)
     world = settled_world([choice.choice(RATES) for _ in range(7)], seed)
-    for _ in range(250):
-        disturb(world, choice)
+    kinds = some_faults(choice)
+    for _ in range(120):
+        disturb(world, choice, kinds)
         world.check()
     world.loop.close()
