Answer a heartbeat without a scan of all grants

Cause: each heartbeat read every grant and delegation of the domain. Change: grants are indexed by owner, and expired delegations are looked for only after the earliest expiry.

--- a/packages/medlarpass/src/medlarpass/ownership/grant_table.py
+++ b/packages/medlarpass/src/medlarpass/ownership/grant_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from medlarpass.base import Value
@@ -99,7 +100,7 @@
     :param released: delegations that are given back and have no live grant
     """
 
-    __slots__ = ("grants", "released", "version")
+    __slots__ = ("counts", "grants", "released", "version")
 
     def __init__(
         self,
@@ -108,6 +109,7 @@
         released: frozenset[tuple[str, int, int]],
     ) -> None:
         self.version = version
+        self.counts = Counter((server, incarnation) for server, incarnation, _ in grants.values())
         self.grants = grants
         self.released = released
 
@@ -124,12 +126,14 @@
     """
 
     __slots__ = (
+        "_by_owner",
         "_by_shard",
         "acquired_at",
         "carving",
         "clock",
         "committed",
         "delegations",
+        "earliest_expiry",
         "epochs_pending",
         "grants",
         "last_asked_at",
@@ -156,9 +160,12 @@
         self.acquired_at = self.clock.now()
         self.epochs_pending = needs_new_epochs
         self.last_asked_at = float("-inf")
+        self.earliest_expiry = float("inf")
         self.delegations: dict[tuple[str, int], HeldDelegation] = {}
         self.grants: dict[Assignment, Grant] = {}
         self._by_shard: dict[tuple[str, int], set[Assignment]] = {}
+        # Every heartbeat asks for the grants of one server.
+        self._by_owner: dict[tuple[str, int], dict[Assignment, None]] = {}
         self.carving: dict[Assignment, Fence] = {}
         self.pending: dict[int, CommittedGrants] = {}
         self.committed = CommittedGrants(0, {}, frozenset())
@@ -196,6 +203,8 @@
         for pool, shard in [each for each in self.delegations if each not in listed]:
             DELEGATION_TAKEN_BACK.log(pool=pool, shard=shard)
             self._drop(pool, shard)
+        expiries = (each.expiry for each in self.delegations.values())
+        self.earliest_expiry = min(expiries, default=float("inf"))
 
     def end_expired(self) -> None:
         """End the grants of delegations whose term has ended.
@@ -204,6 +213,8 @@
         Sessions were limited by the term, so no server counts on these grants any more.
         """
         now = self.clock.now()
+        if now < self.earliest_expiry:
+            return
         for (pool, shard), each in self.delegations.items():
             if each.expiry == 0.0 or now < each.expiry:
                 continue
@@ -295,7 +306,7 @@
         :param incarnation: incarnation whose session has ended
         :returns: assignments that now have no owner
         """
-        ended = [each for each in self.grants.values() if self._is_of(each, server, incarnation)]
+        ended = self._owned(server, incarnation)
         for grant in ended:
             self._end(grant)
         if ended:
@@ -348,7 +359,7 @@
             self._renew_fence(assignment.whole)
         whole = self.grants[assignment.whole]
         whole.fence = max(whole.fence, present.fence)
-        del self.grants[assignment]
+        self._remove(assignment)
         self._by_shard[assignment.pool, assignment.shard].discard(assignment)
         self._changed()
         KEY_MERGED.log(pool=assignment.pool, shard=assignment.shard, key=assignment.key)
@@ -364,10 +375,9 @@
         """
         now = self.clock.now()
         limit = self.session_term
-        for grant in self.grants.values():
-            if self._is_of(grant, server, incarnation):
-                held = self.delegations[grant.assignment.pool, grant.assignment.shard]
-                limit = min(limit, held.expiry - now)
+        for grant in self._owned(server, incarnation):
+            held = self.delegations[grant.assignment.pool, grant.assignment.shard]
+            limit = min(limit, held.expiry - now)
         return max(0.0, limit)
 
     def grants_of(self, server: str, incarnation: int) -> list[control_pb2.GrantStatus]:
@@ -378,8 +388,8 @@
         """
         return [
             grant.to_proto()
-            for grant in self.grants.values()
-            if self._is_of(grant, server, incarnation) and self._is_committed(grant)
+            for grant in self._owned(server, incarnation)
+            if self._is_committed(grant)
         ]
 
     def committed_count(self, server: str, incarnation: int) -> int:
@@ -388,7 +398,7 @@
         :param server: identity of the server
         :param incarnation: incarnation of the server
         """
-        return sum(each[:2] == (server, incarnation) for each in self.committed.grants.values())
+        return self.committed.counts[server, incarnation]
 
     def release_of(self, server: str, incarnation: int) -> list[pb.ReleasedGrant]:
         """Return everything that a server has to stop serving: releases, and isolated keys of its
@@ -398,9 +408,7 @@
         :param incarnation: incarnation of the server
         """
         result: list[pb.ReleasedGrant] = []
-        for grant in self.grants.values():
-            if not self._is_of(grant, server, incarnation):
-                continue
+        for grant in self._owned(server, incarnation):
             if grant.releasing:
                 result.append(_release(grant.assignment, grant.fence))
             if grant.assignment.key is None:
@@ -484,9 +492,24 @@
 
     def _put(self, grant: Grant) -> None:
         assignment = grant.assignment
+        self._remove(assignment)
         self.grants[assignment] = grant
+        if grant.is_live:
+            owner = (grant.server, grant.incarnation)
+            self._by_owner.setdefault(owner, {})[assignment] = None
         self._by_shard.setdefault((assignment.pool, assignment.shard), set()).add(assignment)
 
+    def _remove(self, assignment: Assignment) -> None:
+        former = self.grants.pop(assignment, None)
+        if former is not None and former.is_live:
+            owner = (former.server, former.incarnation)
+            del self._by_owner[owner][assignment]
+            if not self._by_owner[owner]:
+                del self._by_owner[owner]
+
+    def _owned(self, server: str, incarnation: int) -> list[Grant]:
+        return [self.grants[each] for each in self._by_owner.get((server, incarnation), ())]
+
     def _changed(self) -> None:
         self.version += 1
 
@@ -574,7 +597,7 @@
     def _drop(self, pool: str, shard: int) -> None:
         del self.delegations[pool, shard]
         for each in self._by_shard.pop((pool, shard), set()):
-            del self.grants[each]
+            self._remove(each)
         for key in [each for each in self.carving if (each.pool, each.shard) == (pool, shard)]:
             del self.carving[key]
         self._changed()
