Let a new coordinator go on with the delegations without control

Cause: a coordinator that was elected while its domain was cut off did not know how long its delegations lasted, and renewed no session until control answered; the loss of one VM then stopped the whole cut-off domain. Synchronised clocks were ruled out as a base for terms. Change: acceptors answer renewals with a reading of their own clock; the record of grants holds the readings taken before the last confirmed report, and a successor counts the terms from the reading of its own clock. A reading of another start of the entry, or one from the future, is not used. Conclusion: a cut-off domain survives the loss of its coordinator for the rest of the delegation term.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
@@ -187,7 +187,10 @@
 
     def _take_office(self) -> None:
         self.coordinator.elected(
-            self.proposer.adopted, self.proposer.ballot, self.proposer.needs_new_epochs
+            self.proposer.adopted,
+            self.proposer.ballot,
+            self.proposer.needs_new_epochs,
+            self.proposer.name,
         )
         self.planner.reset()
         self.in_office = True
@@ -310,6 +313,7 @@
     async def _report(self) -> None:
         self._set_gauges()
         address = self.control.leader or self.control.next_address()
+        readings = dict(self.proposer.readings)
         asked_at = self.clock.now()
         stub = control_pb2_grpc.ControlStub(self.channels.to(address))
         try:
@@ -325,10 +329,12 @@
         if not response.confirmed:
             self.report_due.set()
             return
-        self.coordinator.grants.apply_report(response, asked_at)
+        self.coordinator.grants.apply_report(response, asked_at, readings)
         if response.new_epochs:
             self.proposer.epochs_renewed()
         self.work.set()
+        # A successor needs the terms of this report to go on without control.
+        await self._replicate()
 
     def _domain_report(self) -> control_pb2.DomainReport:
         grants = self.coordinator.grants
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
@@ -9,6 +9,7 @@
 
 from medlarpass.ownership import LeaseAcceptor
 from medlarpass.ownership import LeaseProposer
+from medlarpass.ownership.ballot import proposer_name
 from medlarpass.registry import ServerRegistry
 from medlarpass.rpc import domain_pb2_grpc
 from medlarpass_daemon.entry.acceptor_clients import LocalAcceptorClient
@@ -44,6 +45,7 @@
     from medlarpass_daemon.settings import DaemonSettings
     from medlarpass_daemon.settings import EntrySettings
 
+NANOSECONDS_PER_MS = 1_000_000
 #: Reason against readiness until the first configuration is in force.
 NO_CONFIGURATION = "no_configuration"
 
@@ -102,8 +104,10 @@
         self.loads = LoadReports(settings.name, clock)
         self.own_loads = OwnLoads(self.store, clock)
         self.control = ControlDirectory(entry.control)
-        self.acceptor = LeaseAcceptor(clock, entry.coordinator_term)
-        self.coordinator = self._coordinator()
+        incarnation = time.time_ns() // NANOSECONDS_PER_MS
+        name = proposer_name(settings.name, incarnation)
+        self.acceptor = LeaseAcceptor(clock, entry.coordinator_term, name)
+        self.coordinator = self._coordinator(incarnation)
         domains = dict.fromkeys(peer.domain for peer in entry.peers)
         self.owners = OwnerDirectory(domains, self.registry, self.targets, self.own_loads, clock)
         self.callers = self._callers()
@@ -153,7 +157,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    def _coordinator(self) -> CoordinatorTask:
+    def _coordinator(self, incarnation: int) -> CoordinatorTask:
         acceptors: dict[str, AcceptorClient] = {
             peer.name: RpcAcceptorClient(self.channels, peer.address, self.entry.coordinator_term)
             for peer in self.entry.peers
@@ -162,7 +166,7 @@
         acceptors[self.settings.name] = LocalAcceptorClient(self.acceptor)
         proposer = LeaseProposer(
             self.settings.name,
-            time.time_ns() // 1_000_000,
+            incarnation,
             acceptors,
             self.clock,
             self.entry.coordinator_term,
