Give each error one code and complete the references of errors and events

Change: the operators' interface uses ControlUnavailableError and UnknownResultError of the daemon and NotLeaderError of the library; InvalidAnnouncementError of the registry replaces the entry's own class; the unused NoServerError of the registry is gone. Classes that differ got codes: no_owner_in_domain, coordinator_refused, deadline_outcome_unknown. New tests refuse other event names and events that nothing logs. Conclusion: a program can tell errors apart by code alone.

--- a/packages/medlarpass-cli/tests/test_cli_failures.py
+++ b/packages/medlarpass-cli/tests/test_cli_failures.py
@@ -13,8 +13,8 @@
 from operators_fakes import unavailable
 from operators_fakes import unknown
 
+from medlarpass.replication import NotLeaderError
 from medlarpass_cli import client
-from medlarpass_daemon.control.operators import NotLeaderError
 
 
 @pytest.fixture
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_service.py
@@ -12,8 +12,8 @@
 from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import control_pb2_grpc
-from medlarpass_daemon.exceptions import CommandUnknownError
 from medlarpass_daemon.exceptions import ControlUnavailableError
+from medlarpass_daemon.exceptions import UnknownResultError
 
 if TYPE_CHECKING:
     from medlarpass_daemon.control.delegator import Delegator
@@ -47,7 +47,7 @@
             result = await self.log.propose(request.command)
         except ControlUnavailableError:
             return control_pb2.ProposeResponse(not_leader=self._not_leader())
-        except CommandUnknownError as error:
+        except UnknownResultError as error:
             return control_pb2.ProposeResponse(
                 unknown=control_pb2.Failure(code=error.code, message=error.message)
             )
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/exceptions.py
@@ -62,28 +62,6 @@
     http_status = 405
 
 
-class NotLeaderError(OperatorCallError):
-    """The replica is not the leader and could not pass the call to it."""
-
-    code = "not_leader"
-    http_status = 503
-
-
-class ControlUnavailableError(OperatorCallError):
-    """The control replicas have no majority or no leader."""
-
-    code = "control_unavailable"
-    http_status = 503
-
-
-class UnknownResultError(OperatorCallError):
-    """The change was proposed, but its result is not known; resend it with the same change id."""
-
-    code = "unknown_result"
-    http_status = 504
-    outcome = Outcome.UNKNOWN
-
-
 class TokenFileError(OperatorCallError):
     """The token file can't be used.
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/interfaces.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/interfaces.py
@@ -27,7 +27,6 @@
 
         The leader stamps ``time_ms``.
 
-        :raises NotLeaderError: when the leader could not be reached; not run
         :raises ControlUnavailableError: when there is no leader or majority; not run
         :raises UnknownResultError: when the command may or may not take effect
         """
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/proposer.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/proposer.py
@@ -10,10 +10,10 @@
 from medlarpass.rpc import control_pb2
 from medlarpass_daemon.control.operators.answers import change_answer
 from medlarpass_daemon.control.operators.events import AUDIT_FAILED
-from medlarpass_daemon.control.operators.exceptions import ControlUnavailableError
 from medlarpass_daemon.control.operators.middlewares import PRINCIPAL
 from medlarpass_daemon.control.operators.middlewares import REQUEST_ID
 from medlarpass_daemon.control.operators.middlewares import source_of
+from medlarpass_daemon.exceptions import ControlUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators_backend.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators_backend.py
@@ -15,8 +15,8 @@
 from medlarpass_daemon.control.exceptions import ReplicaNotReachedError
 from medlarpass_daemon.control.operators import InForce
 from medlarpass_daemon.control.operators import ReplicaStatus
-from medlarpass_daemon.exceptions import CommandUnknownError
 from medlarpass_daemon.exceptions import ControlUnavailableError
+from medlarpass_daemon.exceptions import UnknownResultError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -59,7 +59,7 @@
         """Append a command on the leader.
 
         :raises ControlUnavailableError: the command was certainly not appended
-        :raises CommandUnknownError: the command may take effect
+        :raises UnknownResultError: the command may take effect
         """
         deadline = self.clock.now() + LEADER_WAIT
         while self.clock.now() < deadline:
@@ -174,11 +174,11 @@
                 control_pb2.ProposeRequest(command=command), timeout=CALL_TIMEOUT
             )
         except grpc.aio.AioRpcError as error:
-            raise CommandUnknownError(
+            raise UnknownResultError(
                 f"no answer from the control leader: {error.code().name}"
             ) from error
         if response.HasField("unknown"):
-            raise CommandUnknownError(response.unknown.message)
+            raise UnknownResultError(response.unknown.message)
         return response.result if response.HasField("result") else None
 
     async def _try_read_index(self) -> int | None:
@@ -215,7 +215,7 @@
                 change, timeout=CALL_TIMEOUT
             )
         except grpc.aio.AioRpcError as error:
-            raise CommandUnknownError(
+            raise UnknownResultError(
                 f"no answer from the control leader: {error.code().name}"
             ) from error
         if response.HasField("failure"):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/replica_log.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/replica_log.py
@@ -7,8 +7,8 @@
 from medlarpass.replication import NotLeaderError
 from medlarpass.replication import ProposalUnknownError
 from medlarpass.rpc import control_pb2
-from medlarpass_daemon.exceptions import CommandUnknownError
 from medlarpass_daemon.exceptions import ControlUnavailableError
+from medlarpass_daemon.exceptions import UnknownResultError
 
 if TYPE_CHECKING:
     from medlarpass.control import ControlState
@@ -35,7 +35,7 @@
         """Propose a command to the local replica.
 
         :raises ControlUnavailableError: this replica is not the leader
-        :raises CommandUnknownError: leadership was lost before the command was committed
+        :raises UnknownResultError: leadership was lost before the command was committed
         """
         command.time_ms = self.wall_clock.now_ms()
         try:
@@ -43,7 +43,7 @@
         except NotLeaderError as error:
             raise ControlUnavailableError(error.message) from error
         except ProposalUnknownError as error:
-            raise CommandUnknownError(error.message) from error
+            raise UnknownResultError(error.message) from error
         return control_pb2.CommandResult.FromString(result)
 
     def leader_address(self) -> str:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -56,6 +56,7 @@
 class DeadlineOutcomeUnknownError(DeadlineExceededError):
     """The deadline passed after the request may have been sent."""
 
+    code = "deadline_outcome_unknown"
     outcome = Outcome.UNKNOWN
 
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/control_client.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/control_client.py
@@ -11,8 +11,8 @@
 
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import control_pb2_grpc
-from medlarpass_daemon.exceptions import CommandUnknownError
 from medlarpass_daemon.exceptions import ControlUnavailableError
+from medlarpass_daemon.exceptions import UnknownResultError
 
 if TYPE_CHECKING:
     from medlarpass import Clock
@@ -48,7 +48,7 @@
         :param command: command without time; the leader stamps it
         :param deadline: reading of the clock, in seconds
         :raises ControlUnavailableError: the command was certainly not appended
-        :raises CommandUnknownError: the command may take effect
+        :raises UnknownResultError: the command may take effect
         """
         command.command_id = command.command_id or uuid.uuid4().hex
         uncertain = False
@@ -69,7 +69,7 @@
             if not self.control.leader:
                 await asyncio.sleep(RETRY_PAUSE)
         if uncertain:
-            raise CommandUnknownError("no answer from the control leader; the result is unknown")
+            raise UnknownResultError("no answer from the control leader; the result is unknown")
         raise ControlUnavailableError("no control leader took the command")
 
     async def _call(
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from medlarpass.ownership import OwnershipView
-from medlarpass.ownership.exceptions import NoOwnerError as DomainHasNoOwnerError
+from medlarpass.ownership.exceptions import NoOwnerInDomainError
 from medlarpass_daemon.entry.callers import NoOwnerError
 from medlarpass_daemon.entry.callers.interfaces import Target
 
@@ -124,7 +124,7 @@
         for view in self.views.values():
             try:
                 owners.append(view.owner_of(pool.name, key, pool.shards))
-            except DomainHasNoOwnerError:
+            except NoOwnerInDomainError:
                 continue
         if not owners:
             raise NoOwnerError(f"no server of pool {pool.name} owns the key at present")
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/exceptions.py
@@ -6,14 +6,6 @@
 from medlarpass import Outcome
 
 
-class InvalidAnnouncementError(MedlarpassError):
-    """An announcement or heartbeat has a missing, unknown or wrong field."""
-
-    code = "invalid_announcement"
-    http_status = 400
-    outcome = Outcome.NOT_RUN
-
-
 class WrongDomainError(MedlarpassError):
     """A server announced itself in another failure domain than its own."""
 
@@ -22,14 +14,14 @@
     outcome = Outcome.NOT_RUN
 
 
-class ServerRefusedError(MedlarpassError):
+class CoordinatorRefusedError(MedlarpassError):
     """The coordinator refused an announcement or heartbeat; the server has to announce itself.
 
-    :param code: code of the coordinator's refusal
+    :param reason: code of the coordinator's refusal
     :param message: text of the coordinator's refusal
     """
 
-    code = "server_refused"
+    code = "coordinator_refused"
     http_status = 409
     outcome = Outcome.NOT_RUN
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/server_gateway.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/server_gateway.py
@@ -12,7 +12,7 @@
 from medlarpass.rpc import domain_pb2_grpc
 from medlarpass_daemon.entry.events import SERVER_ANNOUNCED
 from medlarpass_daemon.entry.events import SERVER_REFUSED
-from medlarpass_daemon.entry.exceptions import ServerRefusedError
+from medlarpass_daemon.entry.exceptions import CoordinatorRefusedError
 from medlarpass_daemon.entry.exceptions import WrongDomainError
 
 if TYPE_CHECKING:
@@ -77,7 +77,7 @@
 
         :param server: checked announcement
         :raises WrongDomainError: the server belongs to another failure domain
-        :raises ServerRefusedError: the coordinator refused it
+        :raises CoordinatorRefusedError: the coordinator refused it
         """
         self._hear(server)
         SERVER_ANNOUNCED.log(server=server.identity, incarnation=server.incarnation)
@@ -95,7 +95,7 @@
 
         :param request: checked heartbeat
         :raises WrongDomainError: the server belongs to another failure domain
-        :raises ServerRefusedError: the coordinator refused it
+        :raises CoordinatorRefusedError: the coordinator refused it
         """
         self._hear(request.server)
         request.wait_ms = round(self.entry.heartbeat_wait * 1000)
@@ -146,5 +146,5 @@
         if answer.HasField("failure"):
             failure = answer.failure
             SERVER_REFUSED.log(code=failure.code, message=failure.message)
-            raise ServerRefusedError(failure.code, failure.message)
+            raise CoordinatorRefusedError(failure.code, failure.message)
         return answer
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/server_schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/server_schema.py
@@ -9,9 +9,9 @@
 
 import voluptuous as vol
 
+from medlarpass.registry.exceptions import InvalidAnnouncementError
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import domain_pb2
-from medlarpass_daemon.entry.exceptions import InvalidAnnouncementError
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 STATES = ("starting", "ready", "draining", "leaving")
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/servers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/servers_server.py
@@ -10,8 +10,8 @@
 from aiohttp import web
 
 from medlarpass import MedlarpassError
-from medlarpass_daemon.entry.exceptions import InvalidAnnouncementError
-from medlarpass_daemon.entry.exceptions import ServerRefusedError
+from medlarpass.registry.exceptions import InvalidAnnouncementError
+from medlarpass_daemon.entry.exceptions import CoordinatorRefusedError
 from medlarpass_daemon.entry.server_schema import parse_announcement
 from medlarpass_daemon.entry.server_schema import parse_heartbeat
 from medlarpass_daemon.http_listener import HttpListener
@@ -91,7 +91,7 @@
 
 
 def _failure(error: MedlarpassError) -> web.Response:
-    code = error.reason if isinstance(error, ServerRefusedError) else error.code
+    code = error.reason if isinstance(error, CoordinatorRefusedError) else error.code
     return web.json_response({"code": code, "message": error.message}, status=error.http_status)
 
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/exceptions.py
@@ -21,9 +21,9 @@
     outcome = Outcome.NOT_RUN
 
 
-class CommandUnknownError(MedlarpassError):
-    """The command may or may not take effect; repeat it with the same id."""
+class UnknownResultError(MedlarpassError):
+    """The command may or may not take effect; resend it with the same change id or command id."""
 
-    code = "command_unknown"
+    code = "unknown_result"
     http_status = 504
     outcome = Outcome.UNKNOWN
--- a/packages/medlarpass-daemon/tests/control/operators/operators_fakes.py
+++ b/packages/medlarpass-daemon/tests/control/operators/operators_fakes.py
@@ -12,10 +12,10 @@
 from medlarpass import MedlarpassError
 from medlarpass.control import ControlState
 from medlarpass.rpc import control_pb2
-from medlarpass_daemon.control.operators import ControlUnavailableError
 from medlarpass_daemon.control.operators import InForce
 from medlarpass_daemon.control.operators import ReplicaStatus
-from medlarpass_daemon.control.operators import UnknownResultError
+from medlarpass_daemon.exceptions import ControlUnavailableError
+from medlarpass_daemon.exceptions import UnknownResultError
 from medlarpass_daemon.settings import DaemonSettings
 
 if TYPE_CHECKING:
--- a/packages/medlarpass-daemon/tests/control/operators/test_operator_calls.py
+++ b/packages/medlarpass-daemon/tests/control/operators/test_operator_calls.py
@@ -13,7 +13,7 @@
 from operators_fakes import unavailable
 from operators_fakes import unknown
 
-from medlarpass_daemon.control.operators import NotLeaderError
+from medlarpass.replication import NotLeaderError
 from medlarpass_daemon.control.operators import OperatorsServer
 
 BOTH = {
--- a/packages/medlarpass/src/medlarpass/ownership/exceptions.py
+++ b/packages/medlarpass/src/medlarpass/ownership/exceptions.py
@@ -102,13 +102,13 @@
     code = "epochs_pending"
 
 
-class NoOwnerError(OwnershipError):
-    """No usable owner of the key is known."""
+class NoOwnerInDomainError(OwnershipError):
+    """No usable owner of the key is known in a failure domain; another one may have it."""
 
-    code = "no_owner"
+    code = "no_owner_in_domain"
 
 
-class ViewStaleError(NoOwnerError):
+class ViewStaleError(NoOwnerInDomainError):
     """The owner is known, but its session has ended in this entry's view."""
 
     code = "owner_view_stale"
--- a/packages/medlarpass/src/medlarpass/ownership/ownership_view.py
+++ b/packages/medlarpass/src/medlarpass/ownership/ownership_view.py
@@ -7,7 +7,7 @@
 from medlarpass.base import Value
 from medlarpass.ownership.ballot import ballot_key
 from medlarpass.ownership.drift import held_term
-from medlarpass.ownership.exceptions import NoOwnerError
+from medlarpass.ownership.exceptions import NoOwnerInDomainError
 from medlarpass.ownership.exceptions import ViewStaleError
 from medlarpass.ownership.fence import Fence
 from medlarpass.ownership.shard import Assignment
@@ -87,7 +87,7 @@
         :param pool: name of the pool
         :param key: key of the request
         :param shards: number of shards of the pool
-        :raises NoOwnerError: the key has no owner in this domain
+        :raises NoOwnerInDomainError: the key has no owner in this domain
         :raises ViewStaleError: the owner's session has ended as far as this entry knows
         """
         shard = shard_of(pool, key, shards)
@@ -95,7 +95,7 @@
         if owner is None:
             owner = self.owners.get(Assignment(pool, shard))
         if owner is None:
-            raise NoOwnerError(f"shard {shard} of pool {pool} has no owner in this domain")
+            raise NoOwnerInDomainError(f"shard {shard} of pool {pool} has no owner in this domain")
         if not self._has_session(owner):
             raise ViewStaleError(f"the session of {owner.server} is not known to be valid")
         return owner
--- a/packages/medlarpass/src/medlarpass/registry/exceptions.py
+++ b/packages/medlarpass/src/medlarpass/registry/exceptions.py
@@ -14,14 +14,8 @@
     outcome = Outcome.NOT_RUN
 
 
-class AnnouncementInvalidError(RegistryError):
-    """An announcement does not describe a usable server."""
+class InvalidAnnouncementError(RegistryError):
+    """An announcement or heartbeat has a missing, unknown or wrong field."""
 
-    code = "announcement_invalid"
+    code = "invalid_announcement"
     http_status = 400
-
-
-class NoServerError(RegistryError):
-    """No server of the pool is usable."""
-
-    code = "no_server"
--- a/packages/medlarpass/src/medlarpass/registry/server.py
+++ b/packages/medlarpass/src/medlarpass/registry/server.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from medlarpass.base import Value
-from medlarpass.registry.exceptions import AnnouncementInvalidError
+from medlarpass.registry.exceptions import InvalidAnnouncementError
 
 if TYPE_CHECKING:
     from medlarpass.rpc import control_pb2 as pb
@@ -27,12 +27,12 @@
         """Return the state of its name in announcements.
 
         :param name: ``starting``, ``ready``, ``draining`` or ``leaving``
-        :raises AnnouncementInvalidError: another name
+        :raises InvalidAnnouncementError: another name
         """
         for each in cls:
             if each.spelling == name:
                 return each
-        raise AnnouncementInvalidError(f"server state {name!r} is not known")
+        raise InvalidAnnouncementError(f"server state {name!r} is not known")
 
     @property
     def spelling(self) -> str:
@@ -93,14 +93,14 @@
         """Return the server of an announcement.
 
         :param message: announcement
-        :raises AnnouncementInvalidError: a field does not describe a usable server
+        :raises InvalidAnnouncementError: a field does not describe a usable server
         """
         if not message.identity or not message.ip or not message.pools:
-            raise AnnouncementInvalidError("an announcement needs identity, ip and pools")
+            raise InvalidAnnouncementError("an announcement needs identity, ip and pools")
         if not 0 < message.port <= LARGEST_PORT:
-            raise AnnouncementInvalidError(f"port {message.port} of {message.identity} is invalid")
+            raise InvalidAnnouncementError(f"port {message.port} of {message.identity} is invalid")
         if message.slots == 0 or message.connections == 0:
-            raise AnnouncementInvalidError(f"{message.identity} has no slots or no connections")
+            raise InvalidAnnouncementError(f"{message.identity} has no slots or no connections")
         return cls(
             message.identity,
             message.incarnation,
--- a/packages/medlarpass/src/medlarpass/registry/server_registry.py
+++ b/packages/medlarpass/src/medlarpass/registry/server_registry.py
@@ -67,7 +67,7 @@
         """Note a server's own heartbeat or announcement.
 
         :param message: announcement with the present state
-        :raises AnnouncementInvalidError: the announcement is invalid
+        :raises InvalidAnnouncementError: the announcement is invalid
         """
         self._note(message, self.clock.now(), direct=True)
 
@@ -75,7 +75,7 @@
         """Note what a peer has heard from a server.
 
         :param message: announcement with state and age of the last heartbeat
-        :raises AnnouncementInvalidError: the announcement is invalid
+        :raises InvalidAnnouncementError: the announcement is invalid
         """
         self._note(message, self.clock.now() - message.age_ms / MILLISECONDS, direct=False)
 
--- a/tests/documents/document_rows.py
+++ b/tests/documents/document_rows.py
@@ -83,6 +83,41 @@
     return sorted(found.values(), key=lambda event: int(event.number))
 
 
+def event_constants() -> list[tuple[str, str]]:
+    """Return module and name of every constant that holds a log event where it is defined."""
+    return [
+        (module.__name__, name)
+        for module in import_all()
+        if module.__name__.endswith(".events")
+        for name, value in vars(module).items()
+        if isinstance(value, _event_class())
+    ]
+
+
+def is_used(module: str, name: str) -> bool:
+    """Tell whether another module imports an event constant and writes it to the log.
+
+    The log writer can't log its own losses with ``log``; it writes the number itself.
+    """
+    package = module.rpartition(".")[0]
+    direct = re.compile(rf"^from {re.escape(module)} import {name}$", re.M)
+    indirect = re.compile(rf"^from {re.escape(package)} import events$", re.M)
+    for source in SOURCES:
+        for path in source.rglob("*.py"):
+            text = path.read_text()
+            if direct.search(text) and re.search(rf"\b{name}\.(log\(|number\b)", text):
+                return True
+            if indirect.search(text) and re.search(rf"\bevents\.{name}\.log\(", text):
+                return True
+    return False
+
+
+def _event_class() -> type[Any]:
+    from medlarpass import Event
+
+    return Event
+
+
 def event_rows() -> Rows:
     """Return number and name of every log event."""
     return {str(event.number): (str(event.number), event.name) for event in events()}
@@ -259,6 +294,7 @@
         return str(values["what"]), NO_BOUNDS
     if "low" in values:
         kind = validator.__qualname__.partition(".")[0]
+        kind = {"count": "integer"}.get(kind, kind)
         return kind, f"{values['low']} to {values['high']}"
     name = validator.__name__
     return {"_name": "name", "_digest": "64 hex digits"}.get(name, name), NO_BOUNDS
--- a/tests/documents/test_reference_documents.py
+++ b/tests/documents/test_reference_documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import importlib.util
+import re
 
 from collections import defaultdict
 from pathlib import Path
@@ -51,6 +52,22 @@
     assert not {name: numbers for name, numbers in by_name.items() if len(numbers) > 1}
 
 
+def test_event_names_have_one_form() -> None:
+    """Guards against hyphens, with which a search for a name would need two spellings."""
+    odd = [e.name for e in rows.events() if not re.fullmatch(r"[a-z]+(_[a-z]+)*", e.name)]
+    assert not odd
+
+
+def test_each_event_is_logged_somewhere() -> None:
+    """Guards against documented events that no operator can ever see."""
+    unused = [
+        f"{module}.{name}"
+        for module, name in rows.event_constants()
+        if not rows.is_used(module, name)
+    ]
+    assert not unused
+
+
 @pytest.mark.parametrize(
     ("change", "named"),
     [
