--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/answers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/answers.py
@@ -15,6 +15,8 @@
 from medlarpass.tables import InvalidDocumentError
 from medlarpass.tables import MissingPoolError
 from medlarpass.tables import PoolInUseError
+from medlarpass.tables import PoolNotOwnedError
+from medlarpass.tables import PoolShapeFixedError
 from medlarpass.tables import TableError
 from medlarpass.tables import VersionConflictError
 
@@ -39,6 +41,8 @@
         InvalidDocumentError,
         MissingPoolError,
         PoolInUseError,
+        PoolNotOwnedError,
+        PoolShapeFixedError,
         VersionConflictError,
     )
 }
