--- a/packages/medlarpass/src/medlarpass/ownership/coordinator.py
+++ b/packages/medlarpass/src/medlarpass/ownership/coordinator.py
@@ -53,15 +53,20 @@
         self.told: dict[str, set[ReleaseKey]] = {}
 
     def elected(
-        self, record: pb.GrantRecord | None, ballot: pb.Ballot, needs_new_epochs: bool
+        self,
+        record: pb.GrantRecord | None,
+        ballot: pb.Ballot,
+        needs_new_epochs: bool,
+        entry: str = "",
     ) -> None:
         """Start a term of office.
 
         :param record: newest record of a majority of voters, or ``None``
         :param ballot: ballot of the election
         :param needs_new_epochs: whether the grants were lost
+        :param entry: name of this start of the entry
         """
-        self.grants.adopt(record, ballot, needs_new_epochs)
+        self.grants.adopt(record, ballot, needs_new_epochs, entry)
         self.sessions.adopt(self.grants.holders())
         self.told.clear()
 
--- a/packages/medlarpass/src/medlarpass/ownership/grant_table.py
+++ b/packages/medlarpass/src/medlarpass/ownership/grant_table.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     from medlarpass.clock import Clock
 
@@ -129,6 +130,7 @@
         "_by_owner",
         "_by_shard",
         "acquired_at",
+        "asked",
         "carving",
         "clock",
         "committed",
@@ -139,6 +141,7 @@
         "last_asked_at",
         "pending",
         "session_term",
+        "terms",
         "version",
     )
 
@@ -148,7 +151,11 @@
         self.adopt(None, pb.Ballot(), needs_new_epochs=True)
 
     def adopt(
-        self, record: pb.GrantRecord | None, ballot: pb.Ballot, needs_new_epochs: bool
+        self,
+        record: pb.GrantRecord | None,
+        ballot: pb.Ballot,
+        needs_new_epochs: bool,
+        entry: str = "",
     ) -> None:
         """Start the term of office of a coordinator that has just been elected.
 
@@ -156,10 +163,15 @@
         :param ballot: ballot of the election. Versions start from its number, so that a version is
             not used twice when the grants were lost.
         :param needs_new_epochs: whether the grants were lost
+        :param entry: name of this start of the entry. If the record has a reading of its clock, the
+            delegations go on for the rest of their terms without control; otherwise they wait for
+            the next confirmed report.
         """
         self.acquired_at = self.clock.now()
         self.epochs_pending = needs_new_epochs
         self.last_asked_at = float("-inf")
+        self.asked: dict[str, float] = {}
+        self.terms: dict[str, float] = {}
         self.earliest_expiry = float("inf")
         self.delegations: dict[tuple[str, int], HeldDelegation] = {}
         self.grants: dict[Assignment, Grant] = {}
@@ -173,8 +185,14 @@
         if record is None or needs_new_epochs:
             return
         self.version = max(ballot.number, record.version + 1)
+        self._adopt_report(record, entry)
         for held in record.delegations:
-            self.delegations[held.pool, held.shard] = HeldDelegation(held.epoch, 0.0, held.release)
+            expiry = self._expiry(held.pool)
+            self.delegations[held.pool, held.shard] = HeldDelegation(
+                held.epoch, expiry, held.release
+            )
+            if expiry:
+                self.earliest_expiry = min(self.earliest_expiry, expiry)
         for item in record.grants:
             assignment = Assignment(item.pool, item.shard, item.key)
             self._put(Grant(assignment, Fence.from_int(item.fence), item.server, item.incarnation))
@@ -182,11 +200,33 @@
             if each.release:
                 self._release_all(pool, shard)
 
-    def apply_report(self, response: control_pb2.DomainReportResponse, asked_at: float) -> None:
+    def _adopt_report(self, record: pb.GrantRecord, entry: str) -> None:
+        readings = {each.entry: each.seconds for each in record.asked}
+        asked_at = readings.get(entry)
+        # Without a reading nothing is known; one from the future is of an earlier boot of the VM.
+        if asked_at is None or asked_at > self.clock.now():
+            return
+        self.last_asked_at = asked_at
+        self.asked = readings
+        self.terms = {each.pool: each.term_ms / MILLISECONDS for each in record.terms}
+
+    def _expiry(self, pool: str) -> float:
+        if self.last_asked_at == float("-inf"):
+            return 0.0
+        return self.last_asked_at + held_term(self.terms.get(pool, 0.0))
+
+    def apply_report(
+        self,
+        response: control_pb2.DomainReportResponse,
+        asked_at: float,
+        readings: Mapping[str, float] | None = None,
+    ) -> None:
         """Take over the delegations from an answer to a report.
 
         :param response: answer of the control leader
         :param asked_at: time before the report was sent; terms count from here
+        :param readings: readings of the acceptors' clocks, taken before the report was sent. A
+            successor counts the terms from the reading of its own clock.
         """
         if not response.confirmed or asked_at <= self.last_asked_at:
             return
@@ -194,12 +234,12 @@
             return
         self.last_asked_at = asked_at
         self.epochs_pending = False
-        terms = {each.pool: each.term_ms / MILLISECONDS for each in response.terms}
+        self.asked = dict(readings or {})
+        self.terms = {each.pool: each.term_ms / MILLISECONDS for each in response.terms}
         listed = set()
         for item in response.delegations:
             listed.add((item.pool, item.shard))
-            expiry = asked_at + held_term(terms.get(item.pool, 0.0))
-            self._take(item, expiry)
+            self._take(item, self._expiry(item.pool))
         for pool, shard in [each for each in self.delegations if each not in listed]:
             DELEGATION_TAKEN_BACK.log(pool=pool, shard=shard)
             self._drop(pool, shard)
@@ -470,6 +510,14 @@
                 )
                 for (pool, shard), each in self.delegations.items()
             ],
+            asked=[
+                pb.ClockReading(entry=entry, seconds=seconds)
+                for entry, seconds in self.asked.items()
+            ],
+            terms=[
+                control_pb2.PoolTerm(pool=pool, term_ms=round(term * MILLISECONDS))
+                for pool, term in self.terms.items()
+            ],
         )
 
     def commit(self, version: int) -> None:
--- a/packages/medlarpass/src/medlarpass/ownership/lease_acceptor.py
+++ b/packages/medlarpass/src/medlarpass/ownership/lease_acceptor.py
@@ -28,12 +28,23 @@
 
     :param clock: clock of this entry
     :param term: lease term in seconds
+    :param name: name of this start of the entry; see :func:`proposer_name`
     """
 
-    __slots__ = ("clock", "holder", "honoured_until", "promised", "silent_until", "store", "term")
-
-    def __init__(self, clock: Clock, term: float) -> None:
+    __slots__ = (
+        "clock",
+        "holder",
+        "honoured_until",
+        "name",
+        "promised",
+        "silent_until",
+        "store",
+        "term",
+    )
+
+    def __init__(self, clock: Clock, term: float, name: str = "") -> None:
         self.clock = clock
+        self.name = name
         self.term = term
         # A lease that was accepted before a restart may still be valid.
         self.silent_until = clock.now() + granted_term(term)
@@ -82,7 +93,8 @@
         self.holder = request.ballot.entry
         until = self.clock.now() + granted_term(request.term_ms / MILLISECONDS)
         self.honoured_until = max(self.honoured_until, until)
-        return pb.AcceptResponse(accepted=True, highest=self.promised)
+        reading = pb.ClockReading(entry=self.name, seconds=self.clock.now())
+        return pb.AcceptResponse(accepted=True, highest=self.promised, reading=reading)
 
     def replicate_grants(self, request: pb.ReplicateGrantsRequest) -> pb.ReplicateGrantsResponse:
         """Store the coordinator's grants.
--- a/packages/medlarpass/src/medlarpass/ownership/lease_proposer.py
+++ b/packages/medlarpass/src/medlarpass/ownership/lease_proposer.py
@@ -75,6 +75,7 @@
         "incarnation",
         "name",
         "needs_new_epochs",
+        "readings",
         "seen_holder",
         "started_at",
         "term",
@@ -101,6 +102,8 @@
         self.acquired_at = 0.0
         self.adopted: pb.GrantRecord | None = None
         self.needs_new_epochs = False
+        #: Last known clock reading of each acceptor, in seconds, by its start.
+        self.readings: dict[str, float] = {}
         self.seen_holder = ""
 
     @property
@@ -171,6 +174,7 @@
         request = pb.AcceptRequest(ballot=self.ballot, term_ms=self._term_ms())
         answers = await self._ask_all({name: each.accept(request) for name, each in self._items()})
         accepted = {name for name, each in answers.items() if each.accepted}
+        self._note_readings(answers)
         forgetful = [
             name
             for name, each in answers.items()
@@ -252,8 +256,14 @@
         answers = await self._ask_all(
             {name: self.acceptors[name].accept(request) for name in names}
         )
+        self._note_readings(answers)
         return sum(each.accepted for each in answers.values())
 
+    def _note_readings(self, answers: Mapping[str, pb.AcceptResponse]) -> None:
+        for each in answers.values():
+            if each.HasField("reading"):
+                self.readings[each.reading.entry] = each.reading.seconds
+
     def _adopt(self, promises: Mapping[str, pb.PrepareResponse]) -> None:
         records = [each.grants for each in promises.values() if each.has_history]
         self.needs_new_epochs = len(records) < self.majority
