Read answers that have arrived without a timer

A body that is already in the buffer is taken without a timer, and metrics are looked up by label once per route and outcome.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/answer.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/answer.py
@@ -55,8 +55,9 @@
         :raises DeadlineOutcomeUnknownError: when the deadline passes
         """
         content = self.response.content
-        if content.at_eof():
-            return b""
+        if content.is_eof() and content.exception() is None:
+            # The whole body is in the buffer, as with most answers; no timer is needed.
+            return content.read_nowait(-1)
         parts: list[bytes] = []
         size = 0
         try:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -198,8 +198,7 @@
             return response
         finally:
             route = request.route.name if request is not None else NO_ROUTE
-            self.metrics.requests.labels(route, outcome.value).inc()
-            self.metrics.latency.labels(route).observe(self.clock.now() - started_at)
+            self.metrics.request_ended(route, outcome, self.clock.now() - started_at)
 
 
 def _known(error: Exception, request_id: str) -> MedlarpassError:
