Give free places at a server to all requests that wait for it

Requests that waited for a busy server could be overtaken by new ones, and an ended request woke only one of them, even when the adaptive limit had grown; the others looked again after 50 ms. A changed number of slots replaced the limiter while open places still held the former one, so their places were never given back.

An ended request now wakes as many as there is room for, a new request does not overtake waiting ones, and a limiter is changed in place.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -62,27 +62,31 @@
         :raises NoServerError: when there is no candidate
         :raises DeadlineExceededError: when the deadline passed during the wait
         """
+        has_waited = False
         while True:
             targets = candidates()
             if not targets:
                 raise NoServerError("no server of the pool may get new work")
-            place = self._try(targets, tried)
+            place = self._try(targets, tried, has_waited)
             if place is not None:
                 return place
             remaining = deadline - self.clock.now()
             if remaining <= 0:
                 raise DeadlineExceededError("the deadline passed while all servers were busy")
             await self._wait([target.identity for target in targets], min(remaining, LOOK_AGAIN))
+            has_waited = True
 
     def leave(self, identity: str) -> None:
-        """Let a request that waits for the server look again."""
+        """Let as many waiting requests look again as the server has room for."""
         waiting = self.waiting.get(identity)
-        while waiting:
+        limiter = self.limiters[identity]
+        room = int(limiter.limit) - limiter.in_flight
+        while waiting and room > 0:
             turn = next(iter(waiting))
             del waiting[turn]
             if not turn.done():
                 turn.set_result(None)
-                return
+                room -= 1
 
     def forget(self, identity: str) -> None:
         """Drop what is known about a server that left."""
@@ -92,8 +96,15 @@
         if limiter is not None and not limiter.in_flight:
             del self.limiters[identity]
 
-    def _try(self, targets: Sequence[Target], tried: Set[str]) -> Place | None:
-        free = [target for target in targets if self._has_room(target)]
+    def _try(
+        self, targets: Sequence[Target], tried: Set[str], has_waited: bool = False
+    ) -> Place | None:
+        # A new request does not overtake those that wait for the same server.
+        free = [
+            target
+            for target in targets
+            if (has_waited or not self.waiting.get(target.identity)) and self._has_room(target)
+        ]
         untried = [target for target in free if target.identity not in tried]
         target = self._choose(untried, targets) or self._choose(free, targets)
         if target is None:
@@ -124,11 +135,13 @@
 
     def _has_room(self, target: Target) -> bool:
         limiter = self.limiters.get(target.identity)
-        if limiter is None or limiter.slots != target.slots:
-            known = limiter.in_flight if limiter else 0
+        if limiter is None:
             limiter = ConcurrencyLimiter(LimiterSettings(), self.clock, target.slots)
-            limiter.in_flight = known
             self.limiters[target.identity] = limiter
+        elif limiter.slots != target.slots:
+            # Places that are open hold this limiter, so it is changed and not replaced.
+            limiter.slots = target.slots
+            limiter.limit = min(limiter.limit, float(target.slots))
         return limiter.in_flight + 1 <= limiter.limit
 
     async def _wait(self, identities: Sequence[str], timeout: float) -> None:
