Count an answered request as run after a retry

An enquiry or download whose first attempt was lost and whose second one was answered counted as unknown in the metrics, because the counter used the note that an attempt may have run.

A broken-off answer now has a note of its own, and only that makes an answered request count as unknown.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_request.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_request.py
@@ -35,6 +35,7 @@
         "body",
         "clock",
         "deadline",
+        "is_cut",
         "is_gone",
         "key",
         "may_have_run",
@@ -70,6 +71,8 @@
         self.clock = clock
         #: Whether the outcome of an attempt is unknown.
         self.may_have_run = False
+        #: Whether the answer broke off after a part of it went to the caller.
+        self.is_cut = False
         #: Whether the caller closed its connection.
         self.is_gone = False
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -183,7 +183,7 @@
         try:
             request = read_request(web_request, request_id, self.path)
             response = await handle(request, self.path)
-            if not request.may_have_run:
+            if not request.is_cut:
                 outcome = Outcome.RUN
             return response
         except ConnectionError:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/relay.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/relay.py
@@ -97,7 +97,7 @@
         delivery.place.failed(error)
     else:
         delivery.place.failed(DeadlineOutcomeUnknownError("the deadline passed in the answer"))
-    request.may_have_run = True
+    request.is_cut = True
     ANSWER_ABORTED.log(
         route=request.route.name, request_id=request.request_id, error=type(error).__name__
     )
--- a/packages/medlarpass-daemon/tests/entry/callers/test_callers_server.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_callers_server.py
@@ -268,6 +268,17 @@
     assert len(broken.seen) <= 8
 
 
+async def test_retried_request_counts_as_run(world: Any, kit: Any) -> None:
+    """Guards against answered requests that are counted as unknown."""
+    await world.server(kit.resetting, kit.replying(kit.answer()))
+    entry = await world.entry()
+    world.allow_retries("art")
+    assert (await world.ask("/art/a")).status == 200
+    assert entry.metrics.requests.labels("art", "run")._value.get() == 1
+    assert entry.metrics.requests.labels("art", "unknown")._value.get() == 0
+    assert entry.metrics.retries.labels("art")._value.get() == 1
+
+
 async def test_figures_are_counted(world: Any) -> None:
     """Guards against metrics that miss requests."""
     await world.server()
