--- a/packages/medlarpass-cli/src/medlarpass_cli/__main__.py
+++ b/packages/medlarpass-cli/src/medlarpass_cli/__main__.py
@@ -115,6 +115,13 @@
         metavar="FILE",
         help="file with the bearer token",
     )
+    group.add_argument(
+        "--ca",
+        type=Path,
+        default=default(None),
+        metavar="FILE",
+        help="certificates of the authority for https URLs (default: the system's)",
+    )
     group.add_argument("--output", choices=["table", "json"], default=default("table"))
     group.add_argument(
         "--timeout",
--- a/packages/medlarpass-cli/src/medlarpass_cli/client.py
+++ b/packages/medlarpass-cli/src/medlarpass_cli/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import ssl
 
 from typing import TYPE_CHECKING
 from typing import Any
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
+    from pathlib import Path
 
 #: Rounds over all replicas and the pause between them, in seconds: an election takes about 1 s.
 ROUNDS = 4
@@ -36,14 +38,22 @@
     :param urls: base URLs of control replicas
     :param token: bearer token, None for unauthenticated use
     :param timeout: seconds for one exchange
-    :raises UsageError: when there is no URL or one can't be used
+    :param authority: certificates that HTTPS servers are checked against, None for the system's
+    :raises UsageError: when there is no URL, or one or the authority can't be used
     """
 
-    def __init__(self, urls: Sequence[str], token: str | None, timeout: float) -> None:
+    def __init__(
+        self,
+        urls: Sequence[str],
+        token: str | None,
+        timeout: float,
+        authority: Path | None = None,
+    ) -> None:
         if not urls:
             raise UsageError("expected at least one --control URL")
         self.urls = [_checked_url(url) for url in urls]
         self.token = token
+        self.tls = _tls_context(authority)
         self.timeout = aiohttp.ClientTimeout(
             total=timeout, sock_connect=min(CONNECT_TIMEOUT, timeout)
         )
@@ -95,7 +105,10 @@
             headers[CHANGE_ID_HEADER] = change_id
         unknown: ResultUnknownError | None = None
         unreachable = ControlUnreachableError("no control replica was asked")
-        async with aiohttp.ClientSession(timeout=self.timeout, headers=headers) as session:
+        connector = aiohttp.TCPConnector(ssl=self.tls)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=self.timeout, headers=headers
+        ) as session:
             for number in range(ROUNDS * len(self.urls)):
                 if number and number % len(self.urls) == 0:
                     await asyncio.sleep(PAUSE)
@@ -113,6 +126,13 @@
         raise unknown or unreachable
 
 
+def _tls_context(authority: Path | None) -> ssl.SSLContext:
+    try:
+        return ssl.create_default_context(cafile=authority)
+    except OSError as error:
+        raise UsageError(f"--ca {authority}: expected certificates ({error})") from error
+
+
 async def _exchange(
     session: aiohttp.ClientSession,
     method: str,
--- a/packages/medlarpass-cli/src/medlarpass_cli/command.py
+++ b/packages/medlarpass-cli/src/medlarpass_cli/command.py
@@ -39,7 +39,10 @@
         :raises UsageError: when the URLs or the token file can't be used
         """
         return ControlClient(
-            self.arguments.control, _token(self.arguments.token_file), self.arguments.timeout
+            self.arguments.control,
+            _token(self.arguments.token_file),
+            self.arguments.timeout,
+            self.arguments.ca,
         )
 
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ssl
+
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -63,7 +65,7 @@
         """Start to listen.
 
         :raises TokenFileError: when the token file can't be used
-        :raises OSError: when the address can't be used
+        :raises OSError: when the address or a certificate file can't be used
         """
         tokens_path = self.settings.security.operator_tokens
         tokens = None if tokens_path is None else TokenFile(tokens_path)
@@ -77,7 +79,9 @@
         await runner.setup()
         self.runner = runner
         try:
-            await web.TCPSite(runner, self.listener.ip, self.listener.port).start()
+            await web.TCPSite(
+                runner, self.listener.ip, self.listener.port, ssl_context=self._ssl_context()
+            ).start()
         except OSError:
             await self.stop()
             raise
@@ -91,6 +95,14 @@
         await runner.cleanup()
         OPERATORS_STOPPED.log()
 
+    def _ssl_context(self) -> ssl.SSLContext | None:
+        security = self.settings.security
+        if security.operator_certificate is None:
+            return None
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(security.operator_certificate, security.operator_key)
+        return context
+
     def _application(self, tokens: TokenFile | None) -> web.Application:
         guard = Guard(self.backend, tokens, self.clock)
         application = web.Application(
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -98,8 +98,14 @@
 
 OPERATORS = vol.Any(
     {vol.Required("mode"): "unauthenticated"},
-    {vol.Required("mode"): "token_file", vol.Required("file"): text},
-    msg="expected mode unauthenticated, or mode token_file with file",
+    {
+        vol.Required("mode"): "token_file",
+        vol.Required("file"): text,
+        vol.Inclusive("certificate", "tls"): text,
+        vol.Inclusive("key", "tls"): text,
+    },
+    msg="expected mode unauthenticated, or mode token_file with file and, for TLS, certificate and"
+    " key",
 )
 
 ENTRY = {
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/security.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/security.py
@@ -28,7 +28,7 @@
     :param document: validated section ``security``
     """
 
-    __slots__ = ("operator_tokens", "tls")
+    __slots__ = ("operator_certificate", "operator_key", "operator_tokens", "tls")
 
     def __init__(self, document: dict[str, Any]) -> None:
         between = document["between_processes"]
@@ -36,4 +36,11 @@
         self.tls = TlsSettings(between) if between["mode"] == "mutual_tls" else None
         operators = document.get("operators", {})
         #: None when unauthenticated use by operators was chosen by name.
-        self.operator_tokens = Path(operators["file"]) if "file" in operators else None
+        self.operator_tokens = _path(operators, "file")
+        #: Certificate and key of the operators' listener; None for plain HTTP.
+        self.operator_certificate = _path(operators, "certificate")
+        self.operator_key = _path(operators, "key")
+
+
+def _path(section: dict[str, Any], key: str) -> Path | None:
+    return Path(section[key]) if key in section else None
--- a/packages/medlarpass-daemon/tests/control/operators/operators_fakes.py
+++ b/packages/medlarpass-daemon/tests/control/operators/operators_fakes.py
@@ -117,10 +117,14 @@
         return self.state.snapshot()
 
 
-def daemon_settings(folder: Path, tokens: Path | None = None) -> DaemonSettings:
+def daemon_settings(
+    folder: Path, tokens: Path | None = None, tls: dict[str, str] | None = None
+) -> DaemonSettings:
     """Return settings of a control process whose operators' port is chosen by the system."""
     operators = (
-        {"mode": "token_file", "file": str(tokens)} if tokens else {"mode": "unauthenticated"}
+        {"mode": "token_file", "file": str(tokens), **(tls or {})}
+        if tokens
+        else {"mode": "unauthenticated"}
     )
     return DaemonSettings(
         {
@@ -137,7 +141,6 @@
                 "operators": {"ip": "127.0.0.1", "port": 0},
                 "data_folder": str(folder),
                 "replicas": [],
-                "join": False,
                 "heartbeat": 0.1,
                 "election_timeout": 0.5,
                 "snapshot_records": 10_000,
