--- a/packages/medlarpass/src/medlarpass/ownership/__init__.py
+++ b/packages/medlarpass/src/medlarpass/ownership/__init__.py
@@ -11,11 +11,11 @@
 from medlarpass.ownership.drift import granted_term
 from medlarpass.ownership.drift import held_term
 from medlarpass.ownership.fence import Fence
+from medlarpass.ownership.grant import Grant
 from medlarpass.ownership.grant_holder import GrantHolder
 from medlarpass.ownership.grant_holder import Refusal
 from medlarpass.ownership.grant_holder import Ticket
 from medlarpass.ownership.grant_store import GrantStore
-from medlarpass.ownership.grant_table import Grant
 from medlarpass.ownership.grant_table import GrantTable
 from medlarpass.ownership.lease_acceptor import LeaseAcceptor
 from medlarpass.ownership.lease_proposer import AcceptorClient
--- a/packages/medlarpass/src/medlarpass/ownership/grant_table.py
+++ b/packages/medlarpass/src/medlarpass/ownership/grant_table.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
-from medlarpass.base import Value
 from medlarpass.ownership.drift import granted_term
 from medlarpass.ownership.drift import held_term
 from medlarpass.ownership.events import DELEGATION_EXPIRED
@@ -20,6 +18,10 @@
 from medlarpass.ownership.exceptions import NotGrantedError
 from medlarpass.ownership.exceptions import NotYetGrantableError
 from medlarpass.ownership.fence import Fence
+from medlarpass.ownership.grant import CommittedGrants
+from medlarpass.ownership.grant import Grant
+from medlarpass.ownership.grant import HeldDelegation
+from medlarpass.ownership.grant_index import GrantIndex
 from medlarpass.ownership.shard import Assignment
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import domain_pb2 as pb
@@ -34,87 +36,6 @@
 MILLISECONDS = 1000
 
 
-class Grant(Value):
-    """State of an assignment.
-
-    :param assignment: shard or isolated key
-    :param fence: fence of the live grant, or of the last one
-    :param server: identity of the owner, or an empty string when there is none
-    :param incarnation: incarnation of the owner
-    :param releasing: whether the owner has been asked to release it
-    """
-
-    __slots__ = ("assignment", "fence", "incarnation", "releasing", "server")
-
-    def __init__(
-        self,
-        assignment: Assignment,
-        fence: Fence,
-        server: str = "",
-        incarnation: int = 0,
-        releasing: bool = False,
-    ) -> None:
-        self.assignment = assignment
-        self.fence = fence
-        self.server = server
-        self.incarnation = incarnation
-        self.releasing = releasing
-
-    @property
-    def is_live(self) -> bool:
-        """Whether a server may hold the assignment."""
-        return self.server != ""
-
-    def to_proto(self) -> control_pb2.GrantStatus:
-        """Return the message form."""
-        return control_pb2.GrantStatus(
-            pool=self.assignment.pool,
-            shard=self.assignment.shard,
-            key=self.assignment.key or "",
-            server=self.server,
-            incarnation=self.incarnation,
-            fence=self.fence.to_int(),
-        )
-
-
-class HeldDelegation(Value):
-    """A shard that is delegated to this domain.
-
-    :param epoch: epoch of the delegation
-    :param expiry: end by this coordinator's clock in seconds; 0 until control has confirmed it
-    :param release: whether the shard has to be given back; never undone for an epoch
-    """
-
-    __slots__ = ("epoch", "expiry", "release")
-
-    def __init__(self, epoch: int, expiry: float, release: bool) -> None:
-        self.epoch = epoch
-        self.expiry = expiry
-        self.release = release
-
-
-class CommittedGrants(Value):
-    """Grants that a majority of the domain's entries has stored.
-
-    :param version: version of the record
-    :param grants: live grants by assignment
-    :param released: delegations that are given back and have no live grant
-    """
-
-    __slots__ = ("counts", "grants", "released", "version")
-
-    def __init__(
-        self,
-        version: int,
-        grants: dict[Assignment, tuple[str, int, Fence]],
-        released: frozenset[tuple[str, int, int]],
-    ) -> None:
-        self.version = version
-        self.counts = Counter((server, incarnation) for server, incarnation, _ in grants.values())
-        self.grants = grants
-        self.released = released
-
-
 class GrantTable:
     """Aggregate that keeps at most one live grant per assignment, with fences that only grow per
     shard.
@@ -127,8 +48,6 @@
     """
 
     __slots__ = (
-        "_by_owner",
-        "_by_shard",
         "acquired_at",
         "asked",
         "carving",
@@ -137,7 +56,7 @@
         "delegations",
         "earliest_expiry",
         "epochs_pending",
-        "grants",
+        "index",
         "last_asked_at",
         "pending",
         "session_term",
@@ -174,10 +93,7 @@
         self.terms: dict[str, float] = {}
         self.earliest_expiry = float("inf")
         self.delegations: dict[tuple[str, int], HeldDelegation] = {}
-        self.grants: dict[Assignment, Grant] = {}
-        self._by_shard: dict[tuple[str, int], set[Assignment]] = {}
-        # Every heartbeat asks for the grants of one server.
-        self._by_owner: dict[tuple[str, int], dict[Assignment, None]] = {}
+        self.index = GrantIndex()
         self.carving: dict[Assignment, Fence] = {}
         self.pending: dict[int, CommittedGrants] = {}
         self.committed = CommittedGrants(0, {}, frozenset())
@@ -195,7 +111,9 @@
                 self.earliest_expiry = min(self.earliest_expiry, expiry)
         for item in record.grants:
             assignment = Assignment(item.pool, item.shard, item.key)
-            self._put(Grant(assignment, Fence.from_int(item.fence), item.server, item.incarnation))
+            self.index.put(
+                Grant(assignment, Fence.from_int(item.fence), item.server, item.incarnation)
+            )
         for (pool, shard), each in self.delegations.items():
             if each.release:
                 self._release_all(pool, shard)
@@ -258,7 +176,7 @@
         for (pool, shard), each in self.delegations.items():
             if each.expiry == 0.0 or now < each.expiry:
                 continue
-            parts = [self.grants[part] for part in self._by_shard.get((pool, shard), ())]
+            parts = [self.grants[part] for part in self.index.parts(pool, shard)]
             live = [part for part in parts if part.is_live]
             for grant in live:
                 self._end(grant)
@@ -269,7 +187,7 @@
         """Yield the assignments without owner that may be granted now."""
         for pool, shard in self.delegations:
             whole = Assignment(pool, shard)
-            for each in self._by_shard.get((pool, shard), set()) | {whole}:
+            for each in self.index.parts(pool, shard) | {whole}:
                 present = self.grants.get(each)
                 if (present is None or not present.is_live) and self._refusal(each) is None:
                     yield each
@@ -297,7 +215,7 @@
         if assignment.key is not None and present is None:
             raise KeyNotReleasedError(f"{assignment} is not released by the owner of its shard")
         grant = Grant(assignment, self._next_fence(assignment), server, incarnation)
-        self._put(grant)
+        self.index.put(grant)
         self._changed()
         return grant
 
@@ -334,6 +252,11 @@
         self._end(grant)
         return True
 
+    @property
+    def grants(self) -> Mapping[Assignment, Grant]:
+        """All grants of this domain, those without owner included."""
+        return self.index.grants
+
     @property
     def is_ready(self) -> bool:
         """Whether a majority has stored a record of this term of office."""
@@ -346,7 +269,7 @@
         :param incarnation: incarnation whose session has ended
         :returns: assignments that now have no owner
         """
-        ended = self._owned(server, incarnation)
+        ended = self.index.owned(server, incarnation)
         for grant in ended:
             self._end(grant)
         if ended:
@@ -394,13 +317,12 @@
         whole = self.grants.get(assignment.whole)
         if whole is None:
             whole = Grant(assignment.whole, present.fence)
-            self._put(whole)
+            self.index.put(whole)
         if whole.is_live:
             self._renew_fence(assignment.whole)
         whole = self.grants[assignment.whole]
         whole.fence = max(whole.fence, present.fence)
-        self._remove(assignment)
-        self._by_shard[assignment.pool, assignment.shard].discard(assignment)
+        self.index.remove(assignment)
         self._changed()
         KEY_MERGED.log(pool=assignment.pool, shard=assignment.shard, key=assignment.key)
         return True
@@ -415,7 +337,7 @@
         """
         now = self.clock.now()
         limit = self.session_term
-        for grant in self._owned(server, incarnation):
+        for grant in self.index.owned(server, incarnation):
             held = self.delegations[grant.assignment.pool, grant.assignment.shard]
             limit = min(limit, held.expiry - now)
         return max(0.0, limit)
@@ -428,7 +350,7 @@
         """
         return [
             grant.to_proto()
-            for grant in self._owned(server, incarnation)
+            for grant in self.index.owned(server, incarnation)
             if self._is_committed(grant)
         ]
 
@@ -448,11 +370,11 @@
         :param incarnation: incarnation of the server
         """
         result: list[pb.ReleasedGrant] = []
-        for grant in self._owned(server, incarnation):
+        for grant in self.index.owned(server, incarnation):
             if grant.releasing:
                 result.append(_release(grant.assignment, grant.fence))
             if grant.assignment.key is None:
-                parts = self._by_shard[grant.assignment.pool, grant.assignment.shard]
+                parts = self.index.parts(grant.assignment.pool, grant.assignment.shard)
                 result.extend(_release(each, grant.fence) for each in parts if each.key is not None)
         for assignment, fence in self.carving.items():
             whole = self.grants[assignment.whole]
@@ -538,26 +460,6 @@
         known = self.committed.grants.get(grant.assignment)
         return known == (grant.server, grant.incarnation, grant.fence)
 
-    def _put(self, grant: Grant) -> None:
-        assignment = grant.assignment
-        self._remove(assignment)
-        self.grants[assignment] = grant
-        if grant.is_live:
-            owner = (grant.server, grant.incarnation)
-            self._by_owner.setdefault(owner, {})[assignment] = None
-        self._by_shard.setdefault((assignment.pool, assignment.shard), set()).add(assignment)
-
-    def _remove(self, assignment: Assignment) -> None:
-        former = self.grants.pop(assignment, None)
-        if former is not None and former.is_live:
-            owner = (former.server, former.incarnation)
-            del self._by_owner[owner][assignment]
-            if not self._by_owner[owner]:
-                del self._by_owner[owner]
-
-    def _owned(self, server: str, incarnation: int) -> list[Grant]:
-        return [self.grants[each] for each in self._by_owner.get((server, incarnation), ())]
-
     def _changed(self) -> None:
         self.version += 1
 
@@ -567,7 +469,7 @@
         held = self.delegations.get((assignment.pool, assignment.shard))
         if held is None or held.release or self.clock.now() >= held.expiry:
             return NotDelegatedError(f"{assignment} is not delegated to this domain for now")
-        known_free = (assignment.pool, assignment.shard) in self._by_shard
+        known_free = bool(self.index.parts(assignment.pool, assignment.shard))
         waited = self.clock.now() - self.acquired_at >= granted_term(self.session_term)
         if not known_free and not waited:
             return NotYetGrantableError(f"{assignment} waits for one session term after election")
@@ -575,7 +477,7 @@
 
     def _next_fence(self, assignment: Assignment) -> Fence:
         place = (assignment.pool, assignment.shard)
-        fences = [self.grants[each].fence for each in self._by_shard.get(place, ())]
+        fences = [self.grants[each].fence for each in self.index.parts(*place)]
         return max(fences, default=Fence(0, 0)).next_in(self.delegations[place].epoch)
 
     def _renew_fence(self, assignment: Assignment) -> None:
@@ -584,11 +486,11 @@
         for each in list(self.carving):
             if each.whole == assignment:
                 self.carving[each] = fence
-        self._put(Grant(assignment, fence, grant.server, grant.incarnation, grant.releasing))
+        self.index.put(Grant(assignment, fence, grant.server, grant.incarnation, grant.releasing))
         self._changed()
 
     def _end(self, grant: Grant) -> None:
-        self._put(Grant(grant.assignment, grant.fence))
+        self.index.put(Grant(grant.assignment, grant.fence))
         for key in [each for each in self.carving if each.whole == grant.assignment]:
             del self.carving[key]
             self._free_key(key)
@@ -599,8 +501,8 @@
         whole = self.grants.get(assignment.whole)
         fence = whole.fence if whole is not None else Fence(self.delegations[place].epoch, 0)
         if whole is None:
-            self._put(Grant(assignment.whole, fence))
-        self._put(Grant(assignment, fence))
+            self.index.put(Grant(assignment.whole, fence))
+        self.index.put(Grant(assignment, fence))
         self._changed()
 
     def _confirm_key(
@@ -638,21 +540,21 @@
             self._release_all(item.pool, item.shard)
 
     def _release_all(self, pool: str, shard: int) -> None:
-        for each in self._by_shard.get((pool, shard), set()):
+        for each in self.index.parts(pool, shard):
             grant = self.grants[each]
             grant.releasing = grant.is_live
 
     def _drop(self, pool: str, shard: int) -> None:
         del self.delegations[pool, shard]
-        for each in self._by_shard.pop((pool, shard), set()):
-            self._remove(each)
+        for each in list(self.index.parts(pool, shard)):
+            self.index.remove(each)
         for key in [each for each in self.carving if (each.pool, each.shard) == (pool, shard)]:
             del self.carving[key]
         self._changed()
 
     def _given_back(self) -> Iterable[tuple[str, int, int]]:
         for (pool, shard), each in self.delegations.items():
-            parts = self._by_shard.get((pool, shard), set())
+            parts = self.index.parts(pool, shard)
             if each.release and not any(self.grants[part].is_live for part in parts):
                 yield (pool, shard, each.epoch)
 
