Add the operations page and compare it with the code

Cause: operators had no page for changes, losses, restarts, metrics and alarms. Change: docs/operations.md. An upgrade was not run.

--- a/tests/documents/document_rows.py
+++ b/tests/documents/document_rows.py
@@ -123,6 +123,21 @@
     return {str(event.number): (str(event.number), event.name) for event in events()}
 
 
+def metric_rows() -> Rows:
+    """Return name and type of every metric of a process with both roles."""
+    from medlarpass_daemon.entry.callers.metrics import CallersMetrics
+    from medlarpass_daemon.observability import Metrics
+
+    registry = Metrics().registry
+    CallersMetrics(registry)
+    rows = {}
+    for family in registry.collect():
+        if family.name.startswith("medlarpass_"):
+            name = f"{family.name}_total" if family.type == "counter" else family.name
+            rows[name] = (name, family.type)
+    return rows
+
+
 def settings_rows() -> Rows:
     """Return key, type, default and bounds of every setting."""
     from medlarpass_daemon.settings.schema import SETTINGS_SCHEMA
@@ -170,6 +185,7 @@
     ("docs/errors.md", "Errors"): error_rows,
     ("docs/errors.md", "Exit statuses"): exit_status_rows,
     ("docs/events.md", "Events"): event_rows,
+    ("docs/operations.md", "Metrics"): metric_rows,
 }
 
 
--- a/tests/documents/test_reference_documents.py
+++ b/tests/documents/test_reference_documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import importlib.util
 import re
 
@@ -26,6 +27,8 @@
 
 
 rows = _load_rows()
+#: Commands that a page may name without their arguments.
+MENTIONED_ALONE = {"check"}
 
 
 @pytest.mark.parametrize(("document", "heading"), list(rows.TABLES))
@@ -68,6 +71,24 @@
     assert not unused
 
 
+def test_operations_page_uses_existing_commands_and_names_all() -> None:
+    """Guards against an operator who follows the page in an incident and meets a usage error."""
+    from medlarpass_cli.commands import COMMANDS
+
+    text = (rows.ROOT / "docs/operations.md").read_text()
+    lines = [call for call in re.findall(r"`medlarpass ([^`]+)`", text) if call[0].islower()]
+    lines += re.findall(r"^\$ medlarpass --control \S+ (.+)$", text, re.M)
+    by_name = {command.name: command for command in COMMANDS}
+    used = {line.split()[0] for line in lines}
+    assert used == set(by_name)
+    for line in lines:
+        name, *arguments = line.split()
+        parser = argparse.ArgumentParser(prog=name, exit_on_error=False, allow_abbrev=False)
+        by_name[name].add_arguments(parser)
+        if arguments or name not in MENTIONED_ALONE:
+            parser.parse_args(arguments)
+
+
 @pytest.mark.parametrize(
     ("change", "named"),
     [
