Add scenarios of orders and of the full-size path

Cause: no test ran the parts together at the users' size, or sent the same order through two entries while processes freeze and die.

--- a/examples/standin/__main__.py
+++ b/examples/standin/__main__.py
@@ -28,6 +28,7 @@
     parser.add_argument("--connections", type=int, default=100)
     parser.add_argument("--work-ms", type=float, default=0.0)
     parser.add_argument("--journal", type=Path, required=True)
+    parser.add_argument("--ownership-journal", type=Path, help="file for enquiries and grants")
     return parser.parse_args()
 
 
--- a/examples/standin/announcer.py
+++ b/examples/standin/announcer.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from examples.standin.options import StandinOptions
+    from examples.standin.ownership_journal import OwnershipJournal
     from medlarpass.ownership import GrantHolder
 
 CALL_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
@@ -28,12 +29,20 @@
     :param options: what to announce
     :param incarnation: number that grows with each start
     :param holder: grants of this server
+    :param journal: gets the changes of grants
     """
 
-    def __init__(self, options: StandinOptions, incarnation: int, holder: GrantHolder) -> None:
+    def __init__(
+        self,
+        options: StandinOptions,
+        incarnation: int,
+        holder: GrantHolder,
+        journal: OwnershipJournal,
+    ) -> None:
         self.options = options
         self.incarnation = incarnation
         self.holder = holder
+        self.journal = journal
         self.state = "ready"
         self.in_flight = 0
         self.entries = itertools.cycle(options.entries)
@@ -81,6 +90,7 @@
         status, answer = await self._post(session, "heartbeat", document)
         if status == HTTP_OK:
             self.holder.apply(ticket, heartbeat_response(answer))
+            self.journal.note(self.holder)
         elif ticket.session:
             self.holder.forget()
 
--- a/examples/standin/options.py
+++ b/examples/standin/options.py
@@ -25,6 +25,7 @@
         "identity",
         "ip",
         "journal",
+        "ownership_journal",
         "pools",
         "port",
         "slots",
@@ -45,3 +46,5 @@
         self.work: float = options.work_ms / 1000
         #: File that gets a line for each order that ran.
         self.journal: Path = options.journal
+        #: File that gets a line for each accepted enquiry and each change of a grant.
+        self.ownership_journal: Path | None = options.ownership_journal
--- /dev/null
+++ b/tests/scenarios/conftest.py
@@ -0,0 +1,35 @@
+"""Steps that several features share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pytest_bdd import then
+
+from tests.support.ownership_check import violations
+
+if TYPE_CHECKING:
+    from tests.support.cluster import Cluster
+    from tests.support.load import MixedLoad
+
+
+@then("each answer is whole and the caller's own")
+def answers_own(load: MixedLoad) -> None:
+    assert load.wrong == []
+
+
+@then("no request failed")
+def none_failed(load: MixedLoad) -> None:
+    assert load.failed == []
+
+
+@then("no key had two owners")
+def one_owner(cluster: Cluster) -> None:
+    events = cluster.ownership_events()
+    assert any(event["event"] == "accepted" for event in events)
+    assert violations(events) == []
+
+
+@then("no order that was reported as not run ran")
+def not_run_is_true(cluster: Cluster, load: MixedLoad) -> None:
+    assert set(load.not_run) & set(cluster.orders_run()) == set()
--- /dev/null
+++ b/tests/scenarios/test_full_size.py
@@ -0,0 +1,72 @@
+"""Guards against faults that only show with all parts together at the users' size."""
+
+from __future__ import annotations
+
+import itertools
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from tests.scenarios.systems import running_system
+from tests.support.load import MixedLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tests.support.cluster import Cluster
+
+scenarios("full_size.feature")
+
+#: Each load needs other order ids.
+SEEDS = itertools.count(7)
+SERVERS = {"stock": (7, 7, 6), "orders": (3, 2, 2), "artwork": (2, 2, 2)}
+
+
+def _prepare(cluster: Cluster) -> None:
+    for pool, counts in SERVERS.items():
+        for domain, count in zip(cluster.domains, counts, strict=True):
+            cluster.add_servers(f"{pool}-{domain}", domain, pool, count)
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    with running_system(tmp_path_factory.mktemp("full"), _prepare, shards=128) as system:
+        yield system
+
+
+@given("3 domains with 3 entries each, 5 control replicas and 20, 7 and 6 servers")
+def full_size(cluster: Cluster) -> None:
+    assert len(cluster.entries) == 9
+    assert len(cluster.control) == 5
+    counts = [sum(counts) for counts in SERVERS.values()]
+    assert counts == [20, 7, 6]
+
+
+@when(
+    parsers.parse(
+        "{callers:d} callers send {requests:d} enquiries, orders and downloads over all" " entries"
+    ),
+    target_fixture="load",
+)
+def mixed_load(cluster: Cluster, callers: int, requests: int) -> MixedLoad:
+    ports = [entry.front for entry in cluster.entries]
+    load = MixedLoad(ports, next(SEEDS), callers, keys=400)
+    load.start(requests)
+    load.finish()
+    print(f"answered: {dict(load.answered)}")
+    return load
+
+
+@then("no order ran twice and each answered order ran")
+def orders_once(cluster: Cluster, load: MixedLoad) -> None:
+    runs = [run for run in cluster.orders_run() if run != "warm-up"]
+    assert len(runs) == len(set(runs))
+    assert set(load.answered_orders) == set(runs)
+    assert len(runs) > 500
--- /dev/null
+++ b/tests/scenarios/test_orders.py
@@ -0,0 +1,268 @@
+"""Guards against orders that run twice or that run although they were reported as not run."""
+
+from __future__ import annotations
+
+import itertools
+
+from collections import Counter
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import pytest
+
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from tests.scenarios.systems import is_good
+from tests.scenarios.systems import order
+from tests.scenarios.systems import running_system
+from tests.scenarios.systems import wait_served
+from tests.support.process import ChildProcess
+from tests.support.process import eventually
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tests.support.cluster import Cluster
+    from tests.support.http_call import HttpAnswer
+
+scenarios("orders.feature")
+
+ORDERS_AROUND_LOSS = 60
+LOSS_AFTER = 15
+NUMBERS = itertools.count()
+
+
+def _prepare(cluster: Cluster) -> None:
+    cluster.add_servers("order", "a", "orders", 3)
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    folder = tmp_path_factory.mktemp("orders")
+    with running_system(folder, _prepare, domains=("a",), replicas=("a",) * 3) as system:
+        yield system
+
+
+class Orders:
+    """Orders of a scenario and their answers."""
+
+    def __init__(self) -> None:
+        self.name = f"order-{next(NUMBERS)}"
+        self.pool = ThreadPoolExecutor(8)
+        self.first: Future[HttpAnswer | None] | None = None
+        self.resent: HttpAnswer | None = None
+        self.pairs: dict[str, list[HttpAnswer | None]] = {}
+        self.answers: dict[str, HttpAnswer | None] = {}
+        self.killed: ChildProcess | None = None
+
+
+@pytest.fixture
+def orders(cluster: Cluster) -> Iterator[Orders]:
+    state = Orders()
+    yield state
+    cluster.entries[0].child.thaw()
+    state.pool.shutdown()
+
+
+def _runs(cluster: Cluster) -> Counter[str]:
+    return Counter(cluster.orders_run())
+
+
+@given("a domain with 3 entries, 3 control replicas and 3 order servers")
+def domain(cluster: Cluster) -> None:
+    assert len(cluster.entries) == 3
+    assert len(cluster.control) == 3
+    eventually("there is a leader", cluster.leader)
+
+
+@when(parsers.parse("{count:d} orders are sent through two entries at the same time"))
+def send_pairs(cluster: Cluster, orders: Orders, count: int) -> None:
+    ports = [entry.front for entry in cluster.entries[:2]]
+    for number in range(count):
+        name = f"{orders.name}-{number}"
+        calls = [orders.pool.submit(order, port, name, name) for port in ports]
+        orders.pairs[name] = [each.result() for each in calls]
+
+
+@then("each of them ran once")
+def pairs_once(cluster: Cluster, orders: Orders) -> None:
+    runs = _runs(cluster)
+    assert {name: runs[name] for name in orders.pairs} == dict.fromkeys(orders.pairs, 1)
+
+
+@then("both callers got the recorded answer or were told that the outcome is unknown")
+def pairs_answered(orders: Orders) -> None:
+    for name, answers in orders.pairs.items():
+        good = [each for each in answers if is_good(each)]
+        assert good, name
+        for each in answers:
+            assert each is not None
+            if each.status != 200:
+                assert (each.status, each.headers["medlarpass-outcome"]) == (409, "unknown")
+        assert len({each.json()["request"] for each in good if each is not None}) == 1
+
+
+@when(parsers.parse("an order that takes {work:d} ms runs through the first entry"))
+def slow_order(cluster: Cluster, orders: Orders, work: int) -> None:
+    port = cluster.entries[0].front
+    orders.first = orders.pool.submit(order, port, orders.name, orders.name, work_ms=work)
+    eventually("the order runs", lambda: orders.name in cluster.orders_run())
+
+
+@when("the first entry is frozen")
+def freeze_entry(cluster: Cluster) -> None:
+    cluster.entries[0].child.freeze()
+
+
+@when("the first entry is killed")
+def kill_entry(cluster: Cluster) -> None:
+    cluster.entries[0].child.kill()
+
+
+@when("the first entry is started again")
+def start_entry(cluster: Cluster) -> None:
+    cluster.entries[0].child.start()
+
+
+@when("the first entry goes on")
+def thaw_entry(cluster: Cluster) -> None:
+    cluster.entries[0].child.thaw()
+
+
+@when("the caller resends the order through another entry")
+def resend(cluster: Cluster, orders: Orders) -> None:
+    orders.resent = order(cluster.entries[1].front, orders.name, orders.name)
+
+
+@when("an order is answered and another body is sent with its key")
+def other_body(cluster: Cluster, orders: Orders) -> None:
+    assert is_good(order(cluster.entries[0].front, orders.name, orders.name))
+    orders.resent = order(cluster.entries[1].front, orders.name, orders.name, body=b"9 cartons")
+
+
+@then(parsers.parse('the resent order gets {status:d} with outcome "{outcome}"'))
+def resent_refused(orders: Orders, status: int, outcome: str) -> None:
+    assert orders.resent is not None
+    assert orders.resent.status == status, orders.resent.body
+    assert orders.resent.headers["medlarpass-outcome"] == outcome
+
+
+@then("the first caller gets the answer of the server")
+def first_answered(orders: Orders) -> None:
+    assert orders.first is not None
+    answer = orders.first.result()
+    assert answer is not None
+    assert answer.status == 200, answer.body
+    assert answer.json()["order"] == orders.name
+
+
+@then("the order resent again gets the recorded answer")
+def recorded(cluster: Cluster, orders: Orders) -> None:
+    answer = order(cluster.entries[1].front, orders.name, orders.name)
+    assert answer is not None
+    assert answer.status == 200, answer.body
+    assert answer.headers["medlarpass-replayed"] == "true"
+
+
+@then("the order ran once")
+def ran_once(cluster: Cluster, orders: Orders) -> None:
+    assert _runs(cluster)[orders.name] == 1
+
+
+@when("the control leader is killed while orders are sent")
+def kill_leader(cluster: Cluster, orders: Orders) -> None:
+    leader = cluster.leader()
+    assert leader is not None
+    orders.killed = leader.child
+    for number in range(ORDERS_AROUND_LOSS):
+        if number == LOSS_AFTER:
+            orders.killed.kill()
+        name = f"{orders.name}-{number}"
+        port = cluster.entries[number % 3].front
+        orders.answers[name] = order(port, name, name)
+
+
+@then("orders that were reported as not run did not run")
+def not_run(cluster: Cluster, orders: Orders) -> None:
+    runs = _runs(cluster)
+    told = [
+        name
+        for name, answer in orders.answers.items()
+        if answer is not None and answer.headers.get("medlarpass-outcome") == "not-run"
+    ]
+    print(f"told not-run around the loss of the leader: {len(told)} of {len(orders.answers)}")
+    assert [name for name in told if runs[name]] == []
+
+
+@then("orders that are resent under their key until they are answered ran once")
+def resent_once(cluster: Cluster, orders: Orders) -> None:
+    for name, answer in orders.answers.items():
+        if not is_good(answer):
+            port = cluster.entries[1].front
+            eventually(f"{name} is answered", lambda p=port, n=name: is_good(order(p, n, n)))
+    runs = _runs(cluster)
+    assert {name: runs[name] for name in orders.answers} == dict.fromkeys(orders.answers, 1)
+
+
+@when("the killed replica is started again")
+def start_replica(orders: Orders) -> None:
+    assert orders.killed is not None
+    orders.killed.start()
+
+
+@then("orders are answered by all entries")
+def all_answer(cluster: Cluster) -> None:
+    wait_served(cluster)
+
+
+@when("two control replicas are killed")
+def kill_majority(cluster: Cluster) -> None:
+    for node in cluster.control[:2]:
+        node.child.kill()
+
+
+@when(parsers.parse("{count:d} orders with a key and {others:d} without are sent"))
+def send_both_kinds(cluster: Cluster, orders: Orders, count: int, others: int) -> None:
+    names = [f"{orders.name}-keyed-{number}" for number in range(count)]
+    names += [f"{orders.name}-plain-{number}" for number in range(others)]
+    calls = {}
+    for name, entry in zip(names, itertools.cycle(cluster.entries), strict=False):
+        key = name if "keyed" in name else None
+        calls[name] = orders.pool.submit(order, entry.front, name, key)
+    orders.answers = {name: call.result() for name, call in calls.items()}
+
+
+@then("the orders with a key are refused as not run and did not run")
+def keyed_refused(cluster: Cluster, orders: Orders) -> None:
+    for name, answer in orders.answers.items():
+        if "keyed" in name:
+            assert answer is not None, name
+            assert answer.status == 503, answer.body
+            assert answer.headers["medlarpass-outcome"] == "not-run"
+    keyed_did_not_run(cluster, orders)
+
+
+@then("the refused orders still did not run")
+def keyed_did_not_run(cluster: Cluster, orders: Orders) -> None:
+    runs = _runs(cluster)
+    assert [name for name in orders.answers if "keyed" in name and runs[name]] == []
+
+
+@then("the orders without a key ran once")
+def plain_ran(cluster: Cluster, orders: Orders) -> None:
+    runs = _runs(cluster)
+    plain = [name for name in orders.answers if "plain" in name]
+    assert {name: runs[name] for name in plain} == dict.fromkeys(plain, 1)
+    assert all(is_good(orders.answers[name]) for name in plain)
+
+
+@when("the killed replicas are started again")
+def start_majority(cluster: Cluster) -> None:
+    for node in cluster.control[:2]:
+        node.child.start()
+    eventually("there is a leader", cluster.leader)
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -32,9 +32,11 @@
         self.root = root
         self.output = output
         self.child: subprocess.Popen[bytes] | None = None
+        self.frozen = False
 
     def start(self) -> None:
         """Start the process, or start it again."""
+        self.frozen = False
         sources = [str(path) for path in sorted(self.root.glob("packages/*/src"))]
         environment = os.environ | {"PYTHONPATH": os.pathsep.join([str(self.root), *sources])}
         with self.output.open("ab") as output:
@@ -60,10 +62,12 @@
     def freeze(self) -> None:
         """Stop the process from being scheduled."""
         self._signal(signal.SIGSTOP)
+        self.frozen = True
 
     def thaw(self) -> None:
         """Let a frozen process go on."""
         self._signal(signal.SIGCONT)
+        self.frozen = False
 
     def terminate(self) -> None:
         """Ask for a planned stop."""
