Look up owners of keys in one index over all domains

Cause: each request asked all three domains three times for the owner of its key. Each question hashed the key and two assignments, and most ended with an exception. Ruled out: remembering the owner per key; keys are too many, and a session may end at any moment. Change: the directory indexes the grants by shard and by isolated key and builds the index again when a view has replaced its grants. Sessions are still looked up at each question. The shard of a counted request is computed once.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from medlarpass.ownership import OwnershipView
-from medlarpass.ownership.exceptions import NoOwnerInDomainError
+from medlarpass.ownership import shard_of
 from medlarpass_daemon.entry.callers import NoOwnerError
 from medlarpass_daemon.entry.callers.interfaces import Target
 
@@ -17,6 +17,7 @@
     from collections.abc import Sequence
 
     from medlarpass import Clock
+    from medlarpass.ownership import Assignment
     from medlarpass.ownership import Owner
     from medlarpass.registry import Server
     from medlarpass.registry import ServerRegistry
@@ -42,22 +43,91 @@
         :param owner: ownership that the request relies on, for owned keys
         """
         ip, port = server.ip, server.port
-        translated = self.translation.get(f"{ip}:{port}")
+        translated = self.translation.get(f"{ip}:{port}") if self.translation else None
         if translated:
             ip, _, number = translated.rpartition(":")
             port = int(number)
         return Target(
-            identity=server.identity,
-            incarnation=server.incarnation,
-            ip=ip,
-            port=port,
-            slots=server.slots,
-            connections=server.connections,
-            shard=owner.assignment.shard if owner else None,
-            fence=owner.fence.to_int() if owner else None,
+            server.identity,
+            server.incarnation,
+            ip,
+            port,
+            server.slots,
+            server.connections,
+            owner.assignment.shard if owner else None,
+            owner.fence.to_int() if owner else None,
         )
 
 
+class GrantIndex:
+    """Grants of all failure domains by shard and by isolated key.
+
+    A view replaces its grants as a whole when they change, so the index is valid as long as each
+    view has the same ones. Sessions change all the time and are looked up in the views.
+
+    :param views: views of the domains
+    """
+
+    __slots__ = ("isolated", "known", "shards", "views")
+
+    def __init__(self, views: Iterable[OwnershipView]) -> None:
+        self.views = tuple(views)
+        #: The grants that the index was built from, for each view.
+        self.known: list[object] = []
+        self.shards: dict[tuple[str, int], list[tuple[OwnershipView, Owner]]] = {}
+        self.isolated: dict[tuple[str, int, str], list[tuple[OwnershipView, Owner]]] = {}
+
+    def find(self, pool: str, shard: int, key: str) -> Owner | None:
+        """Return the owner with a valid session, if there is one.
+
+        While a shard moves between domains an entry may see both; the newer grant has the higher
+        fence.
+
+        :param pool: name of the pool
+        :param shard: shard of the key
+        :param key: key of the request
+        """
+        self._refresh()
+        found = None
+        for view, owner in self._granted(pool, shard, key):
+            until = view.sessions.get((owner.server, owner.incarnation))
+            if until is None or view.clock.now() >= until:
+                continue
+            if found is None or found.fence < owner.fence:
+                found = owner
+        return found
+
+    def _granted(self, pool: str, shard: int, key: str) -> list[tuple[OwnershipView, Owner]]:
+        """Return one grant per view at most; that of an isolated key hides that of its shard."""
+        whole = self.shards.get((pool, shard), [])
+        apart = self.isolated.get((pool, shard, key)) if self.isolated else None
+        if not apart:
+            return whole
+        hidden = [view for view, _ in apart]
+        return apart + [each for each in whole if each[0] not in hidden]
+
+    def _refresh(self) -> None:
+        for view, known in zip(self.views, self.known, strict=False):
+            if view.owners is not known:
+                break
+        else:
+            if self.known:
+                return
+        self.known = [view.owners for view in self.views]
+        self.shards.clear()
+        self.isolated.clear()
+        for view in self.views:
+            for assignment, owner in view.owners.items():
+                self._add(view, assignment, owner)
+
+    def _add(self, view: OwnershipView, assignment: Assignment, owner: Owner) -> None:
+        pool, shard, key = assignment.pool, assignment.shard, assignment.key
+        if key is None:
+            self.shards.setdefault((pool, shard), []).append((view, owner))
+        else:
+            self.isolated.setdefault((pool, shard, key), []).append((view, owner))
+
+
 class OwnerDirectory:
     """Owners of keys in all failure domains.
 
@@ -68,7 +138,7 @@
     :param clock: clock of this process
     """
 
-    __slots__ = ("change", "loads", "registry", "targets", "views")
+    __slots__ = ("change", "grants", "loads", "registry", "targets", "views")
 
     def __init__(
         self,
@@ -82,6 +152,7 @@
         self.registry = registry
         self.targets = targets
         self.views = {domain: OwnershipView(clock) for domain in domains}
+        self.grants = GrantIndex(self.views.values())
         self.change = asyncio.Event()
 
     def owner_of(self, pool: Pool, key: str) -> Target:
@@ -89,8 +160,11 @@
 
         :raises NoOwnerError: no server owns the key at present
         """
-        self.loads.count(pool.name, key)
-        owner = self._owner(pool, key)
+        shard = shard_of(pool.name, key, pool.shards)
+        self.loads.count(pool.name, shard, key)
+        owner = self.grants.find(pool.name, shard, key)
+        if owner is None:
+            raise NoOwnerError(f"no server of pool {pool.name} owns the key at present")
         presence = self.registry.presences.get(owner.server)
         if presence is None or presence.server.incarnation != owner.incarnation:
             raise NoOwnerError(f"the address of {owner.server} is not known yet")
@@ -98,9 +172,9 @@
 
     def is_current(self, pool: Pool, key: str, target: Target) -> bool:
         """Tell whether the target still owns the key under the same fence."""
-        try:
-            owner = self._owner(pool, key)
-        except NoOwnerError:
+        shard = shard_of(pool.name, key, pool.shards)
+        owner = self.grants.find(pool.name, shard, key)
+        if owner is None:
             return False
         known = (owner.server, owner.incarnation, owner.fence.to_int())
         return known == (target.identity, target.incarnation, target.fence)
@@ -119,19 +193,6 @@
         self.change.set()
         self.change = asyncio.Event()
 
-    def _owner(self, pool: Pool, key: str) -> Owner:
-        owners = []
-        for view in self.views.values():
-            try:
-                owners.append(view.owner_of(pool.name, key, pool.shards))
-            except NoOwnerInDomainError:
-                continue
-        if not owners:
-            raise NoOwnerError(f"no server of pool {pool.name} owns the key at present")
-        # While a shard moves between domains an entry may see both; the newer grant has the
-        # higher fence.
-        return max(owners, key=lambda owner: owner.fence.to_int())
-
 
 class ServerDirectory:
     """Servers of the pools.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/own_loads.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/own_loads.py
@@ -6,7 +6,6 @@
 
 from medlarpass.dispatch import HotKeySketch
 from medlarpass.dispatch import SketchSettings
-from medlarpass.ownership import shard_of
 from medlarpass.rpc import domain_pb2
 
 if TYPE_CHECKING:
@@ -43,15 +42,15 @@
         self.sketches: dict[str, HotKeySketch] = {}
         self.started_at = clock.now()
 
-    def count(self, pool: str, key: str) -> None:
+    def count(self, pool: str, shard: int, key: str) -> None:
         """Count a request for a key.
 
         :param pool: name of an owned pool
+        :param shard: shard of the key
         :param key: key of the request
         """
-        shards = self.store.pools[pool].shards
-        shard = (pool, shard_of(pool, key, shards))
-        self.counts[shard] = self.counts.get(shard, 0) + 1
+        counted = (pool, shard)
+        self.counts[counted] = self.counts.get(counted, 0) + 1
         sketch = self.sketches.get(pool)
         if sketch is None:
             sketch = HotKeySketch(SketchSettings(), self.clock)
