Send requests to servers without a session of aiohttp

Cause: a session prepares URL, headers, cookies, proxies, traces and redirects for each request, none of which the entry uses, and its resend had to be prevented with a context variable. Ruled out: only replacing the request class of the session; the session copies the headers before. Change: the client creates the request, takes a connection from the connector of the server and reads the answer. A request owns one connection by construction. The headers are not copied.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/connector.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/connector.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-from contextvars import ContextVar
 from typing import TYPE_CHECKING
 
 from aiohttp import TCPConnector
@@ -15,39 +14,31 @@
     from aiohttp import ClientRequest
     from aiohttp import ClientTimeout
     from aiohttp.connector import Connection
-    from aiohttp.tracing import Trace
 
     from medlarpass_daemon.entry.callers.exchange import Exchange
 
-EXCHANGE: ContextVar[Exchange] = ContextVar("exchange")
-
 
 class OneShotConnector(TCPConnector):
-    """Hands out one connection per exchange, so that aiohttp can't send a request again.
-
-    aiohttp resends idempotent requests when a reused connection breaks, and has only a private
-    switch against it. A resend needs a second connection, which is refused here.
-    """
+    """Hands out one connection per exchange, so that a request is never sent again."""
 
     #: Exchanges that have a connection.
     in_use = 0
     #: Set while ``wait_until_unused`` waits.
     unused: asyncio.Event | None = None
 
-    async def connect(
-        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    async def connect_for(
+        self, exchange: Exchange, request: ClientRequest, timeout: ClientTimeout
     ) -> Connection:
-        """Return a connection for the exchange of the running context.
+        """Return a connection for an exchange whose request may be sent now.
 
         :raises AnswerLostError: when the exchange already had a connection
         """
-        exchange = EXCHANGE.get()
         if exchange.has_connection:
             raise AnswerLostError("the connection broke before the answer")
         try:
-            connection = await self._clean(req, traces, timeout)
+            connection = await self._clean(request, timeout)
             try:
-                exchange.before_sending(req.headers)
+                exchange.before_sending(request.headers)
             except BaseException:
                 connection.release()
                 raise
@@ -70,15 +61,13 @@
         if self.unused is not None and not self.in_use:
             self.unused.set()
 
-    async def _clean(
-        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
-    ) -> Connection:
+    async def _clean(self, request: ClientRequest, timeout: ClientTimeout) -> Connection:
         """Return a connection on which nothing arrived since its last exchange.
 
         Bytes after an answer would be taken for the answer to the next request.
         """
         while True:
-            connection = await super().connect(req, traces, timeout)
+            connection = await self.connect(request, [], timeout)
             protocol = connection.protocol
             if protocol is not None and not protocol.should_close:
                 return connection
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
@@ -6,9 +6,7 @@
 
 from typing import TYPE_CHECKING
 
-from aiohttp import ClientSession
 from aiohttp import ClientTimeout
-from aiohttp import DummyCookieJar
 from yarl import URL
 
 from medlarpass import MedlarpassError
@@ -16,7 +14,6 @@
 from medlarpass.dispatch import ConnectionBudget
 from medlarpass_daemon.entry.callers import headers
 from medlarpass_daemon.entry.callers.answer import Answer
-from medlarpass_daemon.entry.callers.connector import EXCHANGE
 from medlarpass_daemon.entry.callers.connector import OneShotConnector
 from medlarpass_daemon.entry.callers.exceptions import AnswerLostError
 from medlarpass_daemon.entry.callers.exceptions import CrossedAnswerError
@@ -24,6 +21,7 @@
 from medlarpass_daemon.entry.callers.exceptions import DeadlineOutcomeUnknownError
 from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
 from medlarpass_daemon.entry.callers.exceptions import ServerUnreachableError
+from medlarpass_daemon.entry.callers.server_request import ServerRequest
 
 if TYPE_CHECKING:
     from typing import TypeAlias
@@ -42,22 +40,22 @@
 #: Seconds an idle connection is kept. It is short because a server that closes it at the moment
 #: of a write leaves an order with an unknown outcome.
 KEEPALIVE = 4.0
-AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+TIMEOUT = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT)
 BODYLESS = frozenset({204, 304})
 
 
 class ServerClient:
-    """One session per server.
+    """One pool of connections per server.
 
     :param settings: settings of the entry
     """
 
-    __slots__ = ("budget", "closing", "sessions", "settings")
+    __slots__ = ("budget", "closing", "connectors", "settings")
 
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.budget = ConnectionBudget(len(settings.peers))
-        self.sessions: dict[str, tuple[Address, ClientSession]] = {}
+        self.connectors: dict[str, tuple[Address, OneShotConnector]] = {}
         self.closing: set[asyncio.Task[None]] = set()
 
     async def send(self, exchange: Exchange) -> Answer:
@@ -74,81 +72,95 @@
         """
         if exchange.remaining <= 0:
             raise DeadlineExceededError("the deadline passed before the request was sent")
-        session = self._session(exchange.target)
-        token = EXCHANGE.set(exchange)
+        connector = self._connector(exchange.target)
         try:
             async with asyncio.timeout(exchange.remaining) as limit:
-                response = await session.request(
-                    exchange.method,
-                    _url(exchange),
-                    headers=exchange.headers,
-                    data=exchange.body,
-                    allow_redirects=False,
-                )
+                response = await self._send(exchange, connector)
         except MedlarpassError:
             raise
         except Exception as error:
             raise _classified(error, exchange, limit.expired()) from error
-        finally:
-            EXCHANGE.reset(token)
         _check(response, exchange)
         return Answer(response, exchange)
 
+    async def _send(self, exchange: Exchange, connector: OneShotConnector) -> ClientResponse:
+        """Write the request on one connection and read the headers of the answer.
+
+        A session of aiohttp is not used: it would send idempotent requests again when a reused
+        connection breaks.
+        """
+        request = ServerRequest(
+            exchange.method,
+            _url(exchange),
+            headers=exchange.headers,
+            data=exchange.body,
+            loop=asyncio.get_running_loop(),
+        )
+        connection = await connector.connect_for(exchange, request, TIMEOUT)
+        protocol = connection.protocol
+        assert protocol is not None
+        try:
+            protocol.set_response_params(
+                skip_payload=exchange.method == "HEAD",
+                read_until_eof=True,
+                auto_decompress=False,
+                read_bufsize=self.settings.buffer,
+            )
+            response = await request.send(connection)
+            try:
+                return await response.start(connection)
+            except BaseException:
+                response.close()
+                raise
+        except BaseException:
+            connection.close()
+            raise
+
     def forget(self, identity: str) -> None:
         """Close the idle connections to a server that left.
 
         Exchanges in flight go on; their connections close when they end.
         """
-        known = self.sessions.pop(identity, None)
+        known = self.connectors.pop(identity, None)
         if known is not None:
             self._retire(known[1])
 
     async def close(self) -> None:
         """Close all connections."""
-        for _, session in self.sessions.values():
-            await session.close()
-        self.sessions.clear()
+        for _, connector in self.connectors.values():
+            await connector.close()
+        self.connectors.clear()
         for task in list(self.closing):
             task.cancel()
         await asyncio.gather(*self.closing, return_exceptions=True)
 
-    def _session(self, target: Target) -> ClientSession:
+    def _connector(self, target: Target) -> OneShotConnector:
         address = (target.incarnation, target.ip, target.port)
-        known = self.sessions.get(target.identity)
+        known = self.connectors.get(target.identity)
         if known is not None and known[0] == address:
             return known[1]
         self.forget(target.identity)
-        session = ClientSession(
-            connector=OneShotConnector(
-                limit=self._limit(target), keepalive_timeout=KEEPALIVE, use_dns_cache=False
-            ),
-            cookie_jar=DummyCookieJar(),
-            auto_decompress=False,
-            skip_auto_headers=AUTO_HEADERS,
-            timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
-            trust_env=False,
-            read_bufsize=self.settings.buffer,
+        connector = OneShotConnector(
+            limit=self._limit(target), keepalive_timeout=KEEPALIVE, use_dns_cache=False
         )
-        self.sessions[target.identity] = (address, session)
-        return session
+        self.connectors[target.identity] = (address, connector)
+        return connector
 
     def _limit(self, target: Target) -> int:
         share = self.budget.share(target.connections)
         return min(self.settings.connections_per_server, share)
 
-    def _retire(self, session: ClientSession) -> None:
-        task = asyncio.get_running_loop().create_task(_close_when_idle(session))
+    def _retire(self, connector: OneShotConnector) -> None:
+        task = asyncio.get_running_loop().create_task(_close_when_idle(connector))
         self.closing.add(task)
         task.add_done_callback(self.closing.discard)
 
 
-async def _close_when_idle(session: ClientSession) -> None:
-    connector = session.connector
-    assert isinstance(connector, OneShotConnector)
+async def _close_when_idle(connector: OneShotConnector) -> None:
     try:
         await connector.wait_until_unused()
     finally:
-        await session.close()
+        await connector.close()
 
 
 def _url(exchange: Exchange) -> URL:
