Remove repeated work from reading, placing and admitting a request

Cause: paths were decoded and split several times, the captured segments were collected and not used, header names were lowered for each request, shares were summed over all routes, and the owner of a key went through the choice between servers. Ruled out: the gauge of requests in flight as a function; a test reads its stored value. Change: plain paths skip the decoding; RouteMatcher.find returns the route alone; names of headers are judged once; FairShare keeps its sums; a single candidate is taken directly; the gauge of queued requests is read when it is scraped, so that it does not keep the value of the last arrival.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
@@ -124,14 +124,11 @@
         turn.set_result(None)
 
     def _reshare(self) -> None:
-        in_flight = self.share.in_flight
+        before = self.share
         self.share = FairShare(
-            self.share.capacity,
-            [_share(state.route) for state in self.routes.values()],
+            before.capacity, [_share(state.route) for state in self.routes.values()]
         )
-        for name, count in in_flight.items():
-            if name in self.share.in_flight:
-                self.share.in_flight[name] = count
+        self.share.carry_over(before)
 
 
 def _share(route: Route) -> RouteShare:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -84,6 +84,7 @@
         self.path = RequestPath(
             settings.entry, routing, owners, servers, claims, peer_loads, clock, self.metrics
         )
+        self.metrics.queued.set_function(lambda: self.path.admission.queued)
         #: Requests whose answer has not been written as a whole.
         self.in_flight = 0
         #: Connections with a request in flight.
@@ -161,7 +162,6 @@
         self.in_flight += 1
         self.active.add(protocol)
         self.metrics.in_flight.inc()
-        self.metrics.queued.set(self.path.admission.queued)
         try:
             response = await self._respond(request)
             if self.path.is_draining:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/headers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/headers.py
@@ -5,6 +5,7 @@
 import re
 import secrets
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from multidict import CIMultiDict
@@ -142,17 +143,23 @@
         removed = HOP_BY_HOP | _named(headers.getall("Connection"))
     passed: CIMultiDict[str] = CIMultiDict()
     for name, value in headers.items():
-        lower = name.lower()
-        if lower not in removed and not lower.startswith(CONTROL_PREFIX):
+        if _is_end_to_end(name, removed):
             passed.add(name, value)
     return passed
 
 
+@lru_cache(maxsize=1024)
+def _is_end_to_end(name: str, removed: frozenset[str]) -> bool:
+    lower = name.lower()
+    return lower not in removed and not lower.startswith(CONTROL_PREFIX)
+
+
 def _named(values: Iterable[str]) -> frozenset[str]:
     names = {name.strip().lower() for value in values for name in value.split(",")}
     return frozenset(names - PROTECTED)
 
 
 def _append(headers: CIMultiDict[str], name: str, value: str) -> None:
-    before = headers.popall(name, [])
-    headers[name] = ", ".join([*before, value])
+    if name in headers:
+        value = ", ".join([*headers.popall(name), value])
+    headers[name] = value
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/place.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/place.py
@@ -11,7 +11,6 @@
 from medlarpass_daemon.entry.callers.exceptions import ServerUnreachableError
 
 if TYPE_CHECKING:
-    from collections.abc import Set
 
     from medlarpass import MedlarpassError
     from medlarpass.dispatch import ConcurrencyLimiter
@@ -34,12 +33,16 @@
     __slots__ = ("attempt", "is_open", "latency", "limiter", "places", "pool", "target")
 
     def __init__(
-        self, places: ServerPlaces, target: Target, limiter: ConcurrencyLimiter, pool: Set[str]
+        self,
+        places: ServerPlaces,
+        target: Target,
+        limiter: ConcurrencyLimiter,
+        pool: frozenset[str],
     ) -> None:
         self.places = places
         self.target = target
         self.limiter = limiter
-        self.pool = frozenset(pool)
+        self.pool = pool
         self.attempt = places.balancer.started(target.identity)
         self.latency: float | None = None
         self.is_open = True
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -99,6 +99,8 @@
     def _try(
         self, targets: Sequence[Target], tried: Set[str], has_waited: bool = False
     ) -> Place | None:
+        if len(targets) == 1:
+            return self._try_only(targets[0], has_waited)
         # A new request does not overtake those that wait for the same server.
         free = [
             target
@@ -113,12 +115,20 @@
         limiter.try_acquire()
         return Place(self, target, limiter, frozenset(each.identity for each in targets))
 
+    def _try_only(self, target: Target, has_waited: bool) -> Place | None:
+        """Take a place at a server that can't be replaced, such as the owner of a key.
+
+        Neither its health nor an earlier attempt matters then.
+        """
+        if not self._has_room(target) or (not has_waited and self.waiting.get(target.identity)):
+            return None
+        limiter = self.limiters[target.identity]
+        limiter.try_acquire()
+        return Place(self, target, limiter, frozenset((target.identity,)))
+
     def _choose(self, free: Sequence[Target], targets: Sequence[Target]) -> Target | None:
         if not free:
             return None
-        if len(targets) == 1:
-            # The owner of a key can't be replaced, whatever its health.
-            return free[0]
         candidates = [
             Candidate(
                 target.identity,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_reader.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl
 from urllib.parse import unquote
@@ -33,10 +34,9 @@
     target = _origin_form(web.raw_path)
     raw_path, _, query = target.partition("?")
     segments = _segments(raw_path)
-    match = path.routing.matcher.match(
-        _host(web.headers.get("Host", "")), _joined(segments), web.method
+    route = path.routing.matcher.find(
+        _host(web.headers.get("Host", "")), _joined(raw_path, segments), web.method
     )
-    route = match.route
     pool = path.routing.pools[route.pool]
     own = headers.deadline_of(web.headers)
     allowed = route.deadline if own is None else min(route.deadline, own)
@@ -76,18 +76,24 @@
     A server that resolves dot segments would run a request of another route than the one matched.
     """
     segments = raw_path.split("/")[1:]
+    if "/." not in raw_path and "%" not in raw_path:
+        return segments
     if any(_decoded(segment) in (".", "..") for segment in segments):
         raise CallerError("dot segments are not allowed in the path")
     return segments
 
 
-def _joined(segments: list[str]) -> str:
+def _joined(raw_path: str, segments: list[str]) -> str:
     """Return the decoded path, in which an encoded slash does not separate segments."""
+    if "%" not in raw_path:
+        return raw_path
     decoded = (_decoded(segment).replace("/", "%2F") for segment in segments)
     return "/" + "/".join(decoded)
 
 
 def _decoded(text: str) -> str:
+    if "%" not in text:
+        return text
     try:
         return unquote(text, errors="strict")
     except UnicodeDecodeError as error:
@@ -116,10 +122,15 @@
     if source.place == "header":
         return list(web.headers.getall(source.name, ()))
     if source.place == "path":
-        pattern = route.path.split("/")[1:]
-        return [_decoded(segments[pattern.index(f"{{{source.name}}}")])]
+        return [_decoded(segments[_index(route.path, source.name)])]
     try:
         pairs = parse_qsl(query, keep_blank_values=True, errors="strict")
     except UnicodeDecodeError as error:
         raise CallerError("the query is not UTF-8") from error
     return [value for name, value in pairs if name == source.name]
+
+
+@lru_cache
+def _index(pattern: str, name: str) -> int:
+    """Return the number of the segment that a pattern captures under a name."""
+    return pattern.split("/")[1:].index(f"{{{name}}}")
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from typing import TYPE_CHECKING
+from urllib.parse import SplitResult
 
 from aiohttp import ClientTimeout
 from yarl import URL
@@ -166,7 +167,9 @@
 def _url(exchange: Exchange) -> URL:
     target = exchange.target
     host = f"[{target.ip}]" if ":" in target.ip else target.ip
-    return URL(f"http://{host}:{target.port}{exchange.path}", encoded=True)
+    path, _, query = exchange.path.partition("?")
+    # Parts need no parsing.
+    return URL(SplitResult("http", f"{host}:{target.port}", path, query, ""), encoded=True)
 
 
 def _classified(error: Exception, exchange: Exchange, is_late: bool) -> MedlarpassError:
--- a/packages/medlarpass/src/medlarpass/dispatch/fair_share.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/fair_share.py
@@ -44,20 +44,26 @@
     :param shares: shares of the routes
     """
 
-    __slots__ = ("capacity", "in_flight", "shares")
+    __slots__ = ("capacity", "guarantees", "in_flight", "shares", "used")
 
     def __init__(self, capacity: int, shares: Iterable[RouteShare]) -> None:
         self.capacity = capacity
         self.shares = {share.route: share for share in shares}
         self.in_flight = dict.fromkeys(self.shares, 0)
+        #: Sum of the requests in flight; each request asks for it.
+        self.used = 0
+        total = sum(share.weight for share in self.shares.values())
+        self.guarantees = {
+            route: max(int(capacity * share.weight / total), 1)
+            for route, share in self.shares.items()
+        }
 
     def guaranteed(self, route: str) -> int:
         """Return the places that belong to a route, at least one.
 
         :raises UnknownRouteError: if the route has no share
         """
-        total = sum(share.weight for share in self.shares.values())
-        return max(int(self.capacity * self._share(route).weight / total), 1)
+        return self.guarantees[self._share(route).route]
 
     def can_start(self, route: str) -> bool:
         """Return whether a request of the route may start now.
@@ -65,14 +71,14 @@
         :raises UnknownRouteError: if the route has no share
         """
         share = self._share(route)
-        free = self.capacity - sum(self.in_flight.values())
+        free = self.capacity - self.used
         if free <= 0:
             return False
-        if self.in_flight[route] < self.guaranteed(route):
+        if self.in_flight[route] < self.guarantees[route]:
             return True
         kept = KEPT_FREE[share.request_class]
         reserved = sum(
-            max(ceil(self.guaranteed(other) * kept) - self.in_flight[other], 0)
+            max(ceil(self.guarantees[other] * kept) - self.in_flight[other], 0)
             for other in self.shares
             if other != route
         )
@@ -83,11 +89,23 @@
         if not self.can_start(route):
             return False
         self.in_flight[route] += 1
+        self.used += 1
         return True
 
     def finished(self, route: str) -> None:
         """Count a request of the route as ended."""
         self.in_flight[route] -= 1
+        self.used -= 1
+
+    def carry_over(self, before: FairShare) -> None:
+        """Take over the requests in flight of routes that still have a share.
+
+        :param before: the shares that were in force before
+        """
+        for route, count in before.in_flight.items():
+            if route in self.in_flight:
+                self.used += count - self.in_flight[route]
+                self.in_flight[route] = count
 
     def next_route(self, waiting: Iterable[str]) -> str | None:
         """Return the waiting route that uses least of its weight and may start, if any."""
--- a/packages/medlarpass/src/medlarpass/tables/route_matcher.py
+++ b/packages/medlarpass/src/medlarpass/tables/route_matcher.py
@@ -57,6 +57,17 @@
             self._add(route)
 
     def match(self, host: str, path: str, method: str) -> RouteMatch:
+        """Find the most specific route and the segments that it captures.
+
+        :param host: host name of the request, without port
+        :param path: decoded path
+        :param method: HTTP method
+        :raises RouteNotFoundError: when no route matches
+        """
+        route = self.find(host, path, method)
+        return RouteMatch(route, _named(route, _segments(path)))
+
+    def find(self, host: str, path: str, method: str) -> Route:
         """Find the most specific route.
 
         :param host: host name of the request, without port
@@ -68,8 +79,8 @@
         for name in (host.lower(), "*"):
             root = self.hosts.get(name)
             route = _find(root, segments, 0, method) if root else None
-            if route:
-                return RouteMatch(route, _named(route, segments))
+            if route is not None:
+                return route
         raise RouteNotFoundError(f"no route for {method} {host}{path}")
 
     def _add(self, route: Route) -> None:
@@ -105,11 +116,12 @@
 
 def _find(node: _Node, segments: list[str], depth: int, method: str) -> Route | None:
     if depth == len(segments):
-        return node.routes.get(method) or node.wildcard.get(method)
+        route = node.routes.get(method)
+        return node.wildcard.get(method) if route is None else route
     segment = segments[depth]
     for child in (node.literals.get(segment), node.capture if segment else None):
-        route = _find(child, segments, depth + 1, method) if child else None
-        if route:
+        route = _find(child, segments, depth + 1, method) if child is not None else None
+        if route is not None:
             return route
     return node.wildcard.get(method)
 
