Plan grants only when something changed; follow moved keys until the deadline

Cause: the coordinator planned on every heartbeat, about 220 times a second with 33 servers, over all shards. Change: a plan runs after a change of sessions, servers, drains or releases, each 50 ms while shards have no owner and else each second. Waiting requests look at the owner again; rooms are asked of the limiter, which spaces requests below a limit of 1; the search for a moving key ends with the deadline.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -85,8 +85,16 @@
     if request.owned_key is None:
         pool = request.pool.name
         return await path.places.take(lambda: path.servers.usable(pool), tried, request.deadline)
-    owned = (await _owner(path, request, request.owned_key),)
-    return await path.places.take(lambda: owned, frozenset(), request.deadline)
+    key = request.owned_key
+    owner = await _owner(path, request, key)
+
+    def owner_only() -> tuple[Target]:
+        # The wait may outlast the ownership, for example when the owner is lost.
+        if not path.owners.is_current(request.pool, key, owner):
+            raise KeyMovedError("the key moved while the request waited for its owner")
+        return (owner,)
+
+    return await path.places.take(owner_only, frozenset(), request.deadline)
 
 
 async def _owner(path: RequestPath, request: CallerRequest, key: str) -> Target:
@@ -154,9 +162,12 @@
     if not request.body.can_repeat or request.is_gone or request.remaining <= 0:
         return False
     if _is_rerouting(error):
-        if request.owned_key is not None and isinstance(error, ServerRefusedError):
+        if request.owned_key is None:
+            return attempts < MOST_REROUTES
+        if isinstance(error, ServerRefusedError):
             await path.owners.wait_for_change(min(VIEW_LAG, request.remaining))
-        return attempts < MOST_REROUTES
+        # A key on its way to another server has an owner soon; only the deadline ends the search.
+        return request.remaining > 0
     if not isinstance(error, ServerUnreachableError | ServerRefusedError | AnswerLostError):
         return False
     kind = kind_of(RequestClass(request.route.request_class.value))
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -80,7 +80,7 @@
         """Let as many waiting requests look again as the server has room for."""
         waiting = self.waiting.get(identity)
         limiter = self.limiters[identity]
-        room = int(limiter.limit) - limiter.in_flight
+        room = max(int(limiter.limit), 1) - limiter.in_flight
         while waiting and room > 0:
             turn = next(iter(waiting))
             del waiting[turn]
@@ -152,7 +152,8 @@
             # Places that are open hold this limiter, so it is changed and not replaced.
             limiter.slots = target.slots
             limiter.limit = min(limiter.limit, float(target.slots))
-        return limiter.in_flight + 1 <= limiter.limit
+        # Below a limit of 1 the limiter spaces requests in time instead of refusing them for good.
+        return limiter.ready_in() == 0.0
 
     async def _wait(self, identities: Sequence[str], timeout: float) -> None:
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
@@ -36,6 +36,9 @@
 
 #: Seconds between two looks at sessions, unless something happens earlier.
 TICK = 0.02
+#: Seconds between two plans while all shards have owners, and while some have none.
+PLAN_INTERVAL = 1.0
+GAP_PLAN_INTERVAL = 0.05
 #: Seconds between two reports to control, unless something was released.
 REPORT_INTERVAL = 1.0
 REPORT_TIMEOUT = 1.0
@@ -69,6 +72,7 @@
         "in_office",
         "metrics",
         "news",
+        "planned_revision",
         "planner",
         "proposer",
         "registry",
@@ -114,6 +118,8 @@
         self.work = asyncio.Event()
         #: Set when a report to control should not wait.
         self.report_due = asyncio.Event()
+        #: Revision of the registry that the last plan has seen.
+        self.planned_revision = -1
         self.tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> None:
@@ -138,13 +144,14 @@
         if not self._serves():
             return domain_pb2.HeartbeatResponse(coordinator=False)
         self.registry.hear_from_peer(request.server)
+        if request.released or self.registry.revision != self.planned_revision:
+            self.work.set()
         try:
             if request.announcement:
                 return self._announce(request)
             self.coordinator.confirm(request)
         except MedlarpassError as error:
             return domain_pb2.HeartbeatResponse(coordinator=True, failure=_failure(error))
-        self.work.set()
         await self._wait_for_news(request)
         if not self._serves():
             return domain_pb2.HeartbeatResponse(coordinator=False)
@@ -252,21 +259,35 @@
         return self.coordinator.watch(request, self.proposer.ballot)
 
     async def _run_grants(self) -> None:
+        grants = self.coordinator.grants
+        planned_at = float("-inf")
         while True:
+            known = grants.version
             self.coordinator.tick()
-            if self.planner.plan(self.store.pools):
-                self._publish()
-            if self.coordinator.grants.version != self._version():
+            age = self.clock.now() - planned_at
+            # A plan looks at every shard, so it runs only when it may change something.
+            changed = grants.version != known or self.registry.revision != self.planned_revision
+            if changed or self.work.is_set() or age >= self._plan_interval():
+                self.work.clear()
+                self.planned_revision = self.registry.revision
+                planned_at = self.clock.now()
+                if self.planner.plan(self.store.pools):
+                    self._publish()
+            if grants.version != self._version():
                 await self._replicate()
             await self._wait_for_work()
 
+    def _plan_interval(self) -> float:
+        grants = self.coordinator.grants
+        has_gaps = grants.index.live_count < len(grants.delegations)
+        return GAP_PLAN_INTERVAL if has_gaps else PLAN_INTERVAL
+
     async def _wait_for_work(self) -> None:
         try:
             async with asyncio.timeout(TICK):
                 await self.work.wait()
         except TimeoutError:
             return
-        self.work.clear()
 
     async def _replicate(self) -> None:
         try:
--- a/packages/medlarpass/src/medlarpass/ownership/grant_index.py
+++ b/packages/medlarpass/src/medlarpass/ownership/grant_index.py
@@ -14,10 +14,12 @@
 class GrantIndex:
     """Keeps three views of the same grants; every heartbeat asks for those of one server."""
 
-    __slots__ = ("_by_owner", "_by_shard", "grants")
+    __slots__ = ("_by_owner", "_by_shard", "grants", "live_count")
 
     def __init__(self) -> None:
         self.grants: dict[Assignment, Grant] = {}
+        #: Number of grants with an owner.
+        self.live_count = 0
         self._by_shard: dict[tuple[str, int], set[Assignment]] = {}
         self._by_owner: dict[tuple[str, int], dict[Assignment, None]] = {}
 
@@ -30,6 +32,7 @@
         if grant.is_live:
             owner = (grant.server, grant.incarnation)
             self._by_owner.setdefault(owner, {})[assignment] = None
+            self.live_count += 1
 
     def remove(self, assignment: Assignment) -> None:
         """Remove the grant of an assignment."""
@@ -53,6 +56,7 @@
         if former is None or not former.is_live:
             return
         owner = (former.server, former.incarnation)
+        self.live_count -= 1
         del self._by_owner[owner][assignment]
         if not self._by_owner[owner]:
             del self._by_owner[owner]
--- a/packages/medlarpass/src/medlarpass/registry/server_registry.py
+++ b/packages/medlarpass/src/medlarpass/registry/server_registry.py
@@ -56,12 +56,14 @@
     :param clock: clock of this entry
     """
 
-    __slots__ = ("clock", "drained", "presences")
+    __slots__ = ("clock", "drained", "presences", "revision")
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.presences: dict[str, Presence] = {}
         self.drained: frozenset[str] = frozenset()
+        #: Grows with each new incarnation, state or drain.
+        self.revision = 0
 
     def hear(self, message: pb.ServerStatus) -> None:
         """Note a server's own heartbeat or announcement.
@@ -89,6 +91,8 @@
             SERVER_DRAINED.log(server=identity)
         for identity in sorted(self.drained - drained):
             SERVER_UNDRAINED.log(server=identity)
+        if drained != self.drained:
+            self.revision += 1
         self.drained = drained
 
     def usable(self, pool: str) -> Iterator[Server]:
@@ -172,11 +176,13 @@
             self.presences[server.identity] = Presence(
                 server, state, heard_at, direct, message.in_flight
             )
+            self.revision += 1
             SERVER_APPEARED.log(server=server.identity, incarnation=server.incarnation)
             return
         if state > present.state:
             SERVER_STATE_CHANGED.log(server=server.identity, state=state.spelling)
             present.state = state
+            self.revision += 1
         if heard_at < present.heard_at:
             return
         present.server = server
