Keep the random fault test free of faults of its bench

Cause: of the seeds 3 to 8, 5 and 6 failed because an entry could not listen on its port again (errno 98): ports came from the ephemeral range, and while a process was down the kernel gave its port to an outgoing connection. Seed 4 failed because the tables were sent to a replica that was still starting. Ruled out: starting a process again until it can listen; the connection that has the port may live as long as the test. Change: ports below the ephemeral range, the tables are resent under the same change id until they are accepted, a process that ended by itself fails the test, and an entry that does not serve at the end is shown with its answers. Seed 7 had failed before with 'all entries serve again' not within 30 s although no process had ended. Conclusion: the cause of that one failure of seed 7 is still open.

--- a/tests/agreement/test_random_faults.py
+++ b/tests/agreement/test_random_faults.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import time
 
@@ -22,6 +23,7 @@
 from tests.agreement.fault_plan import FaultKind
 from tests.agreement.fault_plan import Layout
 from tests.agreement.fault_plan import fault_plan
+from tests.agreement.fixed_ports import FixedPortPool
 from tests.agreement.history import FIELD
 from tests.agreement.history import REGISTER
 from tests.agreement.history import Acceptance
@@ -42,6 +44,8 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
+    from tests.support.cluster import Node
+
 ROOT = Path(__file__).resolve().parents[2]
 SEEDS = (1, 2)
 #: Seeds that once showed a fault, with what they showed.
@@ -148,7 +152,8 @@
 
 
 @pytest.fixture
-def cluster(tmp_path: Path) -> Iterator[Cluster]:
+def cluster(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Cluster]:
+    monkeypatch.setattr("tests.support.cluster.PortPool", FixedPortPool)
     system = Cluster(tmp_path, ROOT)
     for domain in system.domains:
         for number in (1, 2):
@@ -163,9 +168,8 @@
 
 @pytest.mark.parametrize("seed", seeds())
 def test_guarantees_under_random_faults(seed: int, cluster: Cluster) -> None:
-    answer = cluster.change("tables", TABLES)
-    assert answer.status == HTTP_OK, answer.body
-    eventually("all entries serve keys", lambda: all_serve(cluster))
+    eventually("the tables are accepted", lambda: tables_accepted(cluster), SETTLE_TIMEOUT)
+    eventually("all entries serve keys", lambda: all_serve(cluster), SETTLE_TIMEOUT)
     faults = Faults(cluster)
     plan = fault_plan(seed, faults.layout, FAULT_SECONDS)
     print(f"seed {seed}: {plan}")
@@ -175,9 +179,13 @@
     faults.run(plan)
     clients.stop()
     print(history.summary())
+    assert_running(cluster)
     final = settled(cluster)
     history.reads.append(final)
-    eventually("all entries serve again", lambda: all_serve(cluster), SETTLE_TIMEOUT)
+    try:
+        eventually("all entries serve again", lambda: all_serve(cluster), SETTLE_TIMEOUT)
+    except AssertionError as error:
+        raise AssertionError("\n".join([str(error), *diagnosis(cluster)])) from error
     eventually("the last change is in force", lambda: in_force_everywhere(cluster), SETTLE_TIMEOUT)
 
     found = check_register(
@@ -192,13 +200,41 @@
     assert_not_empty(history)
 
 
+def tables_accepted(cluster: Cluster) -> bool:
+    """Send the tables to a replica, which may still be starting although there is a leader."""
+    body = json.dumps({"change_id": "tables", "items": TABLES}).encode()
+    answer = call("POST", cluster.control[0].front, "/v1/changes", body)
+    return answer is not None and answer.status == HTTP_OK
+
+
+def assert_running(cluster: Cluster) -> None:
+    """Guard against processes that end by themselves."""
+    children = [node.child for node in cluster.nodes]
+    children += [group.process for group in cluster.groups.values()]
+    for child in children:
+        assert child.running, f"{child.name} ended: {child.log()[-2000:]}"
+
+
 def all_serve(cluster: Cluster) -> bool:
     """Return whether each entry answers an enquiry."""
-    for entry in cluster.entries:
-        answer = call("GET", entry.front, "/stock/roll-0", timeout=3)
-        if answer is None or answer.status != HTTP_OK:
-            return False
-    return True
+    return all(answered(entry) == str(HTTP_OK) for entry in cluster.entries)
+
+
+def answered(entry: Node) -> str:
+    """Return the status of an enquiry, with the error if there is one."""
+    answer = call("GET", entry.front, "/stock/roll-0", timeout=3)
+    if answer is None:
+        return "no answer"
+    return str(HTTP_OK) if answer.status == HTTP_OK else f"{answer.status} {answer.body.decode()}"
+
+
+def diagnosis(cluster: Cluster) -> list[str]:
+    """Return what shows why an entry does not serve."""
+    lines = [f"{entry.name}: {answered(entry)}" for entry in cluster.entries]
+    for what in ("domains", "grants", "servers"):
+        answer = call("GET", cluster.control[0].front, f"/v1/{what}")
+        lines.append(f"{what}: {answer.body.decode() if answer else None}")
+    return lines
 
 
 def in_force_everywhere(cluster: Cluster) -> bool:
