Average shard loads and move single keys first

Change: the placement averages shard loads over 60 s and loads of isolated keys over 5 s, and relieves a server by isolated keys, from 3% above the mean, before it moves a shard. weighted_slots corrects a domain's slots by the load of its average shard; it is not yet used by the control leader.

--- a/packages/medlarpass/src/medlarpass/ownership/placement.py
+++ b/packages/medlarpass/src/medlarpass/ownership/placement.py
@@ -24,9 +24,22 @@
     :param moves_per_minute: limit of moves for balance; a draining server is emptied without limit
     :param ramp: seconds in which a new server's weight grows to its slots, to cover its cold start
     :param first_weight: part of the slots that a new server starts with
+    :param smoothing: seconds over which the loads of shards are averaged; the entries' rates of
+        quiet shards scatter so much that following them moves most keys every minute
+    :param key_smoothing: the same for isolated keys, which are hotter and change sooner
+    :param key_hysteresis: the same as ``hysteresis`` for moves of isolated keys, which change the
+        owner of one key only
     """
 
-    __slots__ = ("first_weight", "hysteresis", "moves_per_minute", "ramp")
+    __slots__ = (
+        "first_weight",
+        "hysteresis",
+        "key_hysteresis",
+        "key_smoothing",
+        "moves_per_minute",
+        "ramp",
+        "smoothing",
+    )
 
     def __init__(
         self,
@@ -34,11 +47,17 @@
         moves_per_minute: int = 60,
         ramp: float = 10.0,
         first_weight: float = 0.25,
+        smoothing: float = 60.0,
+        key_smoothing: float = 5.0,
+        key_hysteresis: float = 0.03,
     ) -> None:
         self.hysteresis = hysteresis
         self.moves_per_minute = moves_per_minute
         self.ramp = ramp
         self.first_weight = first_weight
+        self.smoothing = smoothing
+        self.key_smoothing = key_smoothing
+        self.key_hysteresis = key_hysteresis
 
 
 class Candidate(Value):
@@ -57,6 +76,35 @@
         self.draining = draining
 
 
+class LoadEstimate:
+    """Running average of a load.
+
+    :param value: average in the unit of the load
+    :param at: time of the last measurement, in seconds
+    :param since: time of the first measurement, in seconds
+    """
+
+    __slots__ = ("at", "since", "value")
+
+    def __init__(self, value: float, at: float) -> None:
+        self.value = value
+        self.at = at
+        self.since = at
+
+    def add(self, load: float, now: float, smoothing: float) -> None:
+        """Take a measurement into the average.
+
+        :param load: measured load
+        :param now: time of the measurement, in seconds
+        :param smoothing: span of the average in seconds; the time since the first measurement when
+            that is shorter, so that the first one does not weigh more than others
+        """
+        span = min(smoothing, now - self.since)
+        part = min(1.0, (now - self.at) / span) if span > 0 else 1.0
+        self.value += part * (load - self.value)
+        self.at = now
+
+
 class Placement:
     """Decides which assignment goes to which server; it moves as little as the limits allow.
 
@@ -64,13 +112,14 @@
     :param settings: limits
     """
 
-    __slots__ = ("clock", "first_seen", "moved_at", "settings")
+    __slots__ = ("clock", "estimates", "first_seen", "moved_at", "settings")
 
     def __init__(self, clock: Clock, settings: PlacementSettings) -> None:
         self.clock = clock
         self.settings = settings
         self.first_seen: dict[str, float] = {}
         self.moved_at: list[float] = []
+        self.estimates: dict[Assignment, LoadEstimate] = {}
 
     def plan(
         self,
@@ -88,7 +137,7 @@
         weights = self._weights(candidates)
         if not weights:
             return {}
-        load = _complete(owners, loads)
+        load = _complete(owners, self._estimate(owners, loads))
         total = dict.fromkeys(weights, 0.0)
         owned: dict[str, list[Assignment]] = {server: [] for server in weights}
         homeless: list[Assignment] = []
@@ -122,6 +171,28 @@
             if not each.draining and each.slots > 0
         }
 
+    def _estimate(
+        self, owners: Iterable[Assignment], loads: Mapping[Assignment, float]
+    ) -> dict[Assignment, float]:
+        now = self.clock.now()
+        kept: dict[Assignment, LoadEstimate] = {}
+        result: dict[Assignment, float] = {}
+        for each in owners:
+            known = self.estimates.get(each)
+            if known is None and each in loads:
+                known = LoadEstimate(loads[each], now)
+            elif known is not None and each in loads:
+                known.add(loads[each], now, self._span(each))
+            if known is not None:
+                kept[each] = known
+                result[each] = known.value
+        self.estimates = kept
+        return result
+
+    def _span(self, assignment: Assignment) -> float:
+        settings = self.settings
+        return settings.smoothing if assignment.key is None else settings.key_smoothing
+
     def _warmth(self, age: float) -> float:
         settings = self.settings
         if settings.ramp <= 0:
@@ -142,17 +213,26 @@
         owned: Mapping[str, list[Assignment]],
         load: Mapping[Assignment, float],
     ) -> None:
+        settings = self.settings
         mean = sum(total.values()) / sum(weights.values())
-        limit = mean * (1.0 + self.settings.hysteresis)
+        shard_limit = mean * (1.0 + settings.hysteresis)
+        key_limit = mean * (1.0 + min(settings.key_hysteresis, settings.hysteresis))
         allowance = self._allowance()
         # A server whose single assignment is above the limit cannot be relieved; the others can.
         open_servers = set(weights)
         while allowance > 0 and open_servers:
             fullest = max(sorted(open_servers), key=lambda name: total[name] / weights[name])
-            if total[fullest] / weights[fullest] <= limit:
+            used = total[fullest] / weights[fullest]
+            if used <= key_limit:
                 return
             emptiest = min(weights, key=lambda name: total[name] / weights[name])
-            move = self._best_move(owned[fullest], fullest, emptiest, weights, total, load)
+            # A single key relieves a server as much as a shard of the same load, and changes the
+            # owner of one key only.
+            keys = [each for each in owned[fullest] if each.key is not None]
+            move = self._best_move(keys, fullest, emptiest, weights, total, load)
+            if move is None and used > shard_limit:
+                shards = [each for each in owned[fullest] if each.key is None]
+                move = self._best_move(shards, fullest, emptiest, weights, total, load)
             if move is None:
                 open_servers.discard(fullest)
                 continue
--- a/packages/medlarpass/tests/ownership/test_placement.py
+++ b/packages/medlarpass/tests/ownership/test_placement.py
@@ -14,6 +14,7 @@
 from medlarpass.ownership.placement_baselines import consistent_hashing
 from medlarpass.ownership.placement_baselines import modulo_hashing
 from medlarpass.ownership.placement_baselines import rendezvous_hashing
+from medlarpass.ownership.placement_domains import weighted_slots
 
 SHARDS = [Assignment("stock", each) for each in range(256)]
 WARM = PlacementSettings(ramp=0.0, moves_per_minute=10_000)
@@ -142,3 +143,78 @@
     names = [each.server for each in servers(20)]
     before, after = place(SHARDS, names), place(SHARDS, names[1:])
     assert all(before[each] == after[each] for each in SHARDS if before[each] != names[0])
+
+
+def test_rates_that_scatter_around_the_same_mean_move_few_shards() -> None:
+    choice = random.Random(3)
+    candidates = servers(7)
+    settings = PlacementSettings(ramp=0.0, hysteresis=0.05, moves_per_minute=10_000)
+    moved = []
+    for smoothing in (0.0, settings.smoothing):
+        settings.smoothing = smoothing
+        placement, clock, owners = placed(candidates, dict.fromkeys(SHARDS, 3.0), settings)
+        count = 0
+        for _ in range(120):
+            clock.advance(1.0)
+            rates = {each: choice.gammavariate(9.0, 1.0 / 3.0) for each in SHARDS}
+            plan = placement.plan(owners, candidates, rates)
+            owners |= plan
+            count += len(plan)
+        moved.append(count)
+    assert moved[1] * 5 < moved[0]
+
+
+def test_a_lasting_change_of_load_is_followed() -> None:
+    candidates = servers(4)
+    settings = PlacementSettings(ramp=0.0, smoothing=10.0, moves_per_minute=10_000)
+    placement, clock, owners = placed(candidates, dict.fromkeys(SHARDS, 1.0), settings)
+    loads = {each: 3.0 if owners[each] == "s00" else 1.0 for each in SHARDS}
+    for _ in range(60):
+        clock.advance(1.0)
+        owners |= placement.plan(owners, candidates, loads)
+    assert imbalance(owners, loads, candidates) <= 1.15
+
+
+def test_an_isolated_key_is_moved_rather_than_a_shard_of_the_same_load() -> None:
+    key = Assignment("stock", 0, "roll-1")
+    owners: dict[Assignment, str | None] = {each: f"s{each.shard % 2:02}" for each in SHARDS}
+    owners[key] = "s00"
+    loads = dict.fromkeys(SHARDS, 1.0) | {key: 40.0, SHARDS[2]: 40.0}
+    plan = Placement(ManualClock(), WARM).plan(owners, servers(2), loads)
+    assert plan == {key: "s01"}
+
+
+@pytest.mark.parametrize(
+    ("slots", "loads", "shards", "expected"),
+    [
+        ({"a": 10, "b": 10}, {"a": 50.0, "b": 50.0}, {"a": 5, "b": 5}, {"a": 10000, "b": 10000}),
+        # The average shard of a costs 11, of b 9; all together 10.
+        ({"a": 10, "b": 10}, {"a": 55.0, "b": 45.0}, {"a": 5, "b": 5}, {"a": 9091, "b": 11111}),
+        # A domain that holds nothing yet has no measured load.
+        ({"a": 10, "b": 10}, {"a": 50.0}, {"a": 5}, {"a": 10000, "b": 10000}),
+        ({"a": 10, "b": 10}, {"a": 99.0, "b": 1.0}, {"a": 5, "b": 5}, {"a": 8000, "b": 12500}),
+        ({"a": 0, "b": 10}, {}, {}, {"a": 0, "b": 10000}),
+    ],
+)
+def test_domains_with_heavy_shards_weigh_less_within_bounds(
+    slots: dict[str, int],
+    loads: dict[str, float],
+    shards: dict[str, int],
+    expected: dict[str, int],
+) -> None:
+    assert weighted_slots(slots, loads, shards) == expected
+
+
+def test_small_imbalance_moves_keys_but_no_shards() -> None:
+    keys = [Assignment("stock", 0, f"roll-{each}") for each in range(4)]
+    owners: dict[Assignment, str | None] = {each: f"s{each.shard % 2:02}" for each in SHARDS}
+    loads = dict.fromkeys(SHARDS, 1.0) | dict.fromkeys(keys, 3.0)
+    settings = PlacementSettings(ramp=0.0, hysteresis=0.08, key_hysteresis=0.03)
+    # One server has 140, the other 128: the fuller one is 4.5% above the mean.
+    plan = Placement(ManualClock(), settings).plan(
+        owners | dict.fromkeys(keys, "s00"), servers(2), loads
+    )
+    assert plan
+    assert all(each.key is not None for each in plan)
+    heavy = loads | {SHARDS[0]: 13.0}
+    assert Placement(ManualClock(), settings).plan(owners, servers(2), heavy) == {}
