--- a/tools/measure/registry.py
+++ b/tools/measure/registry.py
@@ -11,7 +11,7 @@
 from tools.measure.options import Options
 from tools.measure.row import Row
 
-MODULES = ("balancing", "limits", "fairness", "retries", "hot_keys", "detection")
+MODULES = ("balancing", "limits", "fairness", "retries", "hot_keys", "detection", "placement")
 
 Run = Callable[[Options], list[Row]]
 
