Measure the request path and the slopes, and show old figures

Cause: throughput, latency, loss of a server and costs for the capacity page had no measurement; timed sections would disturb each other.

--- a/tools/measure/registry.py
+++ b/tools/measure/registry.py
@@ -11,7 +11,17 @@
 from tools.measure.options import Options
 from tools.measure.row import Row
 
-MODULES = ("balancing", "limits", "fairness", "retries", "hot_keys", "detection", "placement")
+MODULES = (
+    "balancing",
+    "limits",
+    "fairness",
+    "retries",
+    "hot_keys",
+    "detection",
+    "placement",
+    "path",
+    "slopes",
+)
 
 Run = Callable[[Options], list[Row]]
 
@@ -22,24 +32,27 @@
     :param name: stable name, used in JSON and on the command line
     :param title: heading of the table
     :param run: function that measures
+    :param is_timed: whether it measures time, memory or processes, and so has to run alone; the
+        figures of the others depend on the seed only
     """
 
-    __slots__ = ("name", "run", "title")
+    __slots__ = ("is_timed", "name", "run", "title")
 
-    def __init__(self, name: str, title: str, run: Run) -> None:
+    def __init__(self, name: str, title: str, run: Run, is_timed: bool) -> None:
         self.name = name
         self.title = title
         self.run = run
+        self.is_timed = is_timed
 
 
 SECTIONS: dict[str, Section] = {}
 
 
-def section(name: str, title: str) -> Callable[[Run], Run]:
+def section(name: str, title: str, is_timed: bool = False) -> Callable[[Run], Run]:
     """Register the decorated function as a section."""
 
     def register(run: Run) -> Run:
-        SECTIONS[name] = Section(name, title, run)
+        SECTIONS[name] = Section(name, title, run, is_timed)
         return run
 
     return register
--- a/tools/measure/results.py
+++ b/tools/measure/results.py
@@ -16,13 +16,20 @@
 Figures = dict[str, dict[str, float]]
 
 
-def table(title: str, rows: list[Row]) -> str:
-    """Return the rows as an aligned table, one block per case."""
+def table(title: str, rows: list[Row], section: str = "", old: Figures | None = None) -> str:
+    """Return the rows as an aligned table, one block per case.
+
+    :param title: heading
+    :param rows: rows in the order of their cases
+    :param section: name of the section
+    :param old: figures of the previous run; one that differs is shown in brackets
+    """
     names = list(dict.fromkeys(name for row in rows for name in row.figures))
     lines = [["case", "policy", *names]]
     for index, row in enumerate(rows):
         repeated = index > 0 and rows[index - 1].case == row.case
-        shown = [f"{row.figures[name]:g}" if name in row.figures else "" for name in names]
+        before = (old or {}).get(_key(section, row), {})
+        shown = [_shown(row.figures.get(name), before.get(name)) for name in names]
         lines.append(["" if repeated else row.case, row.policy, *shown])
     widths = [max(len(line[column]) for line in lines) for column in range(len(lines[0]))]
     text = [
@@ -57,7 +64,7 @@
 
 def flatten(section: Section, rows: list[Row]) -> Figures:
     """Return the figures of a section by section, case and policy."""
-    return {f"{section.name} | {row.case} | {row.policy}": row.figures for row in rows}
+    return {_key(section.name, row): row.figures for row in rows}
 
 
 def compare(old: Figures, new: Figures) -> tuple[int, list[str]]:
@@ -71,3 +78,15 @@
             if name in before and before[name] != value:
                 lines.append(f"{key} | {name}: {before[name]:g} -> {value:g}")
     return common, lines
+
+
+def _key(section: str, row: Row) -> str:
+    return f"{section} | {row.case} | {row.policy}"
+
+
+def _shown(value: float | None, before: float | None) -> str:
+    if value is None:
+        return ""
+    if before is None or before == value:
+        return f"{value:g}"
+    return f"{value:g} ({before:g})"
