Test the measurement of the placement

Cause: a wrong count in the model would pass as a figure of the policy. Change: tests for churn, gaps, isolated keys, the fleet and the fit of slopes; an idle domain counts as balanced; imports are left out of the profile. Conclusion: the counts of the section placement are right for these cases.

--- /dev/null
+++ b/packages/medlarpass/tests/ownership/test_placement_measure.py
@@ -0,0 +1,89 @@
+"""Guards against a measured churn, balance or slope that comes from a faulty model."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from medlarpass.ownership import Assignment
+from tools.measure.deployment import BUNGKUS
+from tools.measure.fleet import Fleet
+from tools.measure.key_load import POOL
+from tools.measure.key_load import SHARDS
+from tools.measure.key_load import KeyLoad
+from tools.measure.options import Options
+from tools.measure.placement import LOSS_GAP
+from tools.measure.placement import MOVE_GAP
+from tools.measure.placement import SETTLING
+from tools.measure.placement import Tally
+from tools.measure.slope import fitted
+
+if TYPE_CHECKING:
+    from tools.measure.placement_model import Owners
+
+DOMAINS = {"s0": 0, "s1": 1, "s2": 2}
+
+
+@pytest.fixture(scope="module")
+def load() -> KeyLoad:
+    return KeyLoad(Options(1, quick=True), BUNGKUS, SETTLING + 3)
+
+
+def spread(servers: list[str]) -> Owners:
+    return {Assignment(POOL, each): servers[each % len(servers)] for each in range(SHARDS)}
+
+
+def test_keys_of_a_lost_server_are_the_least_churn_and_miss_a_session(load: KeyLoad) -> None:
+    tally, before = Tally(load, DOMAINS), spread(["s0", "s1", "s2"])
+    after = {each: "s1" if owner == "s0" else owner for each, owner in before.items()}
+    tally.add(SETTLING, set(DOMAINS), set(DOMAINS), before)
+    tally.moved = tally.gap = tally.least = 0.0
+    tally.add(SETTLING + 1, {"s1", "s2"}, {"s1", "s2"}, after)
+    lost = sum(load.keys_of_shard[each.shard] for each, owner in before.items() if owner == "s0")
+    assert tally.figures()["churn"] == 1.0
+    assert tally.gap == pytest.approx(lost * LOSS_GAP)
+
+
+def test_planned_move_counts_as_churn_with_a_short_gap(load: KeyLoad) -> None:
+    tally, before = Tally(load, DOMAINS), spread(["s0", "s1", "s2"])
+    after = before | {Assignment(POOL, 0): "s1"}
+    tally.add(SETTLING, set(DOMAINS), set(DOMAINS), before)
+    tally.moved = tally.gap = 0.0
+    tally.add(SETTLING + 1, set(DOMAINS), set(DOMAINS), after)
+    assert tally.moved == load.keys_of_shard[0]
+    assert tally.gap == pytest.approx(load.keys_of_shard[0] * MOVE_GAP)
+
+
+def test_isolated_key_loads_its_own_owner_and_counts_as_one_key(load: KeyLoad) -> None:
+    key, rate = max(load.hot[SETTLING].items(), key=lambda item: item[1])
+    whole = dict.fromkeys((Assignment(POOL, each) for each in range(SHARDS)), "s0")
+    apart = whole | {Assignment(POOL, load.shard_of_key[key], key): "s1"}
+    tally = Tally(load, DOMAINS)
+    tally.add(SETTLING, set(DOMAINS), set(DOMAINS), whole)
+    tally.moved = 0.0
+    tally.add(SETTLING + 1, set(DOMAINS), set(DOMAINS), apart)
+    assert tally.moved == 1
+    total = sum(load.tail) + sum(load.hot[SETTLING + 1].values())
+    moved = load.hot[SETTLING + 1].get(key, 0.0)
+    assert tally.ratios[1] == pytest.approx(3.0 * (total - moved) / total)
+    assert rate > 0
+
+
+def test_load_is_the_same_for_the_same_seed(load: KeyLoad) -> None:
+    again = KeyLoad(Options(1, quick=True), BUNGKUS, SETTLING + 3)
+    assert again.hot == load.hot
+    assert [each.hot for each in again.measured[-1]] == [each.hot for each in load.measured[-1]]
+
+
+def test_stopped_server_drains_before_it_leaves_and_comes_back() -> None:
+    fleet = Fleet(BUNGKUS, 90)
+    fleet.stop_and_start(Options(1, quick=True))
+    assert len(fleet.seconds[30]) == 19
+    assert sum(each.draining for each in fleet.seconds[60].values()) == 1
+    assert len(fleet.seconds[63]) == 19
+    assert len(fleet.seconds[89]) == 20
+
+
+def test_line_through_exact_points_has_their_slope_and_a_full_fit() -> None:
+    assert fitted([(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)]) == pytest.approx((2.0, 1.0))
--- a/tools/measure/placement.py
+++ b/tools/measure/placement.py
@@ -137,7 +137,8 @@
 
 
 def _ratio(used: Collection[float]) -> float:
-    return max(used) * len(used) / sum(used)
+    total = sum(used)
+    return max(used) * len(used) / total if total else 1.0
 
 
 @section("placement", "Placement of owned keys under changing hot keys")
--- a/tools/measure/profile_parts.py
+++ b/tools/measure/profile_parts.py
@@ -12,6 +12,8 @@
     from pathlib import Path
 
 BUILT_IN = "~"
+# Imports belong to the start of the process.
+IMPORTS = "<frozen importlib"
 
 
 def parts_of(path: Path) -> list[tuple[str, float]]:
@@ -24,13 +26,15 @@
     stats: dict[Any, Any] = pstats.Stats(str(path)).stats  # type: ignore[attr-defined]
     times: dict[str, float] = {}
     for (file, _, name), (_, _, own, _, callers) in stats.items():
-        if "run_until_complete" in name or "run_forever" in name:
+        if file.startswith(IMPORTS) or "run_until_complete" in name or "run_forever" in name:
             continue
         if file != BUILT_IN:
             part = _part(file)
             times[part] = times.get(part, 0.0) + own
             continue
         for (caller_file, _, caller), (_, _, own_here, _) in callers.items():
+            if caller_file.startswith(IMPORTS):
+                continue
             part = _part(caller_file) if caller_file != BUILT_IN else caller
             times[part] = times.get(part, 0.0) + own_here
     total = sum(times.values())
