Leave the event loop's delay out of the limiter's latency

Cause: a busy or paused entry took its own delay for that of the servers and lowered their limits. Ruled out: subtracting the processor time of the entry; it overlaps with the wait for the server and would hide a slow one. A timer that always runs; an idle entry has to stay idle. Change: LoopLag measures every 5 ms how late a timer is, only while attempts are in flight, and the limiter gets the latency less this delay, at least 1 ms. The check for room uses the limiter's pacing below 1. The test for limits below 1 fails without the change: the request is never admitted.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/place.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/place.py
@@ -44,19 +44,23 @@
         self.limiter = limiter
         self.pool = pool
         self.attempt = places.balancer.started(target.identity)
+        places.lag.started()
+        #: Seconds until the headers of the answer, without the delay of the own event loop.
         self.latency: float | None = None
         self.is_open = True
 
     def answered(self) -> None:
         """Take the time until the headers of the answer; the body's time is the caller's too."""
-        self.latency = self._elapsed()
+        self.latency = self.places.lag.without_lag(self.attempt.started_at)
 
     def finished(self, status: int) -> None:
         """Count a complete answer."""
         if not self._close():
             return
-        latency = self._elapsed() if self.latency is None else self.latency
-        self.limiter.finished(latency)
+        if self.latency is None:
+            self.answered()
+        assert self.latency is not None
+        self.limiter.finished(self.latency)
         self.places.balancer.finished(self.attempt)
         self._record(Outcome.RUN, status)
 
@@ -98,9 +102,11 @@
         self.places.leave(identity)
 
     def _close(self) -> bool:
-        was_open = self.is_open
+        if not self.is_open:
+            return False
         self.is_open = False
-        return was_open
+        self.places.lag.ended()
+        return True
 
     def _elapsed(self) -> float:
         return self.places.clock.now() - self.attempt.started_at
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -17,6 +17,7 @@
 from medlarpass.dispatch import LimiterSettings
 from medlarpass.dispatch import NoServerError
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.loop_lag import LoopLag
 from medlarpass_daemon.entry.callers.place import Place
 
 if TYPE_CHECKING:
@@ -41,7 +42,7 @@
     :param clock: source of time
     """
 
-    __slots__ = ("balancer", "clock", "ejector", "limiters", "waiting")
+    __slots__ = ("balancer", "clock", "ejector", "lag", "limiters", "waiting")
 
     def __init__(self, peer_loads: PeerLoads, clock: Clock) -> None:
         self.clock = clock
@@ -49,6 +50,7 @@
         # The balancer only asks for the requests in flight.
         self.balancer.peers = cast("ReportedLoads", peer_loads)
         self.ejector = Ejector(EjectorSettings(), clock)
+        self.lag = LoopLag(clock)
         self.limiters: dict[str, ConcurrencyLimiter] = {}
         self.waiting: dict[str, dict[asyncio.Future[None], None]] = {}
 
@@ -152,7 +154,8 @@
             # Places that are open hold this limiter, so it is changed and not replaced.
             limiter.slots = target.slots
             limiter.limit = min(limiter.limit, float(target.slots))
-        return limiter.in_flight + 1 <= limiter.limit
+        # A limit below 1 spaces requests in time; compared with a count it would admit none.
+        return limiter.ready_in() == 0.0
 
     async def _wait(self, identities: Sequence[str], timeout: float) -> None:
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/packages/medlarpass-daemon/tests/entry/callers/test_places.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_places.py
@@ -60,3 +60,12 @@
     second.dropped()
     limiter = made.limiters["s1"]
     assert (limiter.in_flight, limiter.slots, limiter.limit) == (0, 2, 2.0)
+
+
+async def test_limit_below_one_still_admits(world: Any, made: places.ServerPlaces) -> None:
+    """Guards against a server that gets no request any more once its limit fell below 1."""
+    target = world.target(1, slots=1)
+    (await take(world, made, target)).dropped()
+    made.limiters[target.identity].limit = 0.5
+    (await asyncio.wait_for(take(world, made, target), 20)).finished(200)
+    assert made.limiters[target.identity].limit > 0.5
