Keep one class of request classes

Cause: medlarpass.dispatch and medlarpass.tables each declared RequestClass, and the entry converted one into the other for each admission and retry. Ruled out: removing the name from medlarpass.dispatch; tests and embedding programs import it from there. Change: medlarpass.tables keeps the class, medlarpass.dispatch passes it on under the same name, and the converted places and the fairness measurement use it directly. Measured: none expected beyond a call per new route; not measured.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from medlarpass.dispatch import FairShare
-from medlarpass.dispatch import RequestClass
 from medlarpass.dispatch import RouteShare
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.route_state import RouteState
@@ -126,11 +125,10 @@
     def _reshare(self) -> None:
         before = self.share
         self.share = FairShare(
-            before.capacity, [_share(state.route) for state in self.routes.values()]
+            before.capacity,
+            [
+                RouteShare(state.route.name, state.route.request_class)
+                for state in self.routes.values()
+            ],
         )
         self.share.carry_over(before)
-
-
-def _share(route: Route) -> RouteShare:
-    # The dispatch package and the tables each declare the classes of requests.
-    return RouteShare(route.name, RequestClass(route.request_class.value))
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -7,7 +7,6 @@
 
 from medlarpass import MedlarpassError
 from medlarpass import Outcome
-from medlarpass.dispatch import RequestClass
 from medlarpass.dispatch import RetryDecision
 from medlarpass.dispatch import kind_of
 from medlarpass_daemon.entry.callers import headers
@@ -159,7 +158,7 @@
         return attempts < MOST_REROUTES
     if not isinstance(error, ServerUnreachableError | ServerRefusedError | AnswerLostError):
         return False
-    kind = kind_of(RequestClass(request.route.request_class.value))
+    kind = kind_of(request.route.request_class)
     decision = state.retries.decide(kind, error.outcome, attempts, request.remaining)
     return decision is RetryDecision.RETRY
 
--- a/packages/medlarpass/src/medlarpass/dispatch/__init__.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/__init__.py
@@ -31,7 +31,6 @@
 from medlarpass.dispatch.hot_key_sketch import HotKeySketch
 from medlarpass.dispatch.pause_monitor import PauseMonitor
 from medlarpass.dispatch.peer_loads import PeerLoads
-from medlarpass.dispatch.request_class import RequestClass
 from medlarpass.dispatch.request_kinds import Download
 from medlarpass.dispatch.request_kinds import Enquiry
 from medlarpass.dispatch.request_kinds import Order
@@ -52,6 +51,7 @@
 from medlarpass.dispatch.slow_start import SlowStart
 from medlarpass.dispatch.suspicion_agreement import ObserverReport
 from medlarpass.dispatch.suspicion_agreement import SuspicionAgreement
+from medlarpass.tables import RequestClass
 
 __all__ = [
     "Arrivals",
--- a/packages/medlarpass/src/medlarpass/dispatch/fair_share.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/fair_share.py
@@ -7,7 +7,7 @@
 
 from medlarpass.base import Value
 from medlarpass.dispatch.exceptions import UnknownRouteError
-from medlarpass.dispatch.request_class import RequestClass
+from medlarpass.tables import RequestClass
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/medlarpass/src/medlarpass/dispatch/request_kinds.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/request_kinds.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from medlarpass.base import Value
-from medlarpass.dispatch.request_class import RequestClass
+from medlarpass.tables import RequestClass
 
 
 class RequestKind(Value):
--- a/tools/measure/fairness.py
+++ b/tools/measure/fairness.py
@@ -9,8 +9,8 @@
 from medlarpass.dispatch import DispatchError
 from medlarpass.dispatch import FairShare
 from medlarpass.dispatch import QueueSettings
-from medlarpass.dispatch import RequestClass
 from medlarpass.dispatch import RouteShare
+from medlarpass.tables import RequestClass
 from tools.measure.event_loop import EventLoop
 from tools.measure.figures import lognormal
 from tools.measure.figures import mean
