Drop the state of servers that left and of deleted routes

Cause: connections, limits, ejections and loads of each server and the admission of each route were kept for the life of the process; the functions that drop them had no caller. Ruled out: acting on each heartbeat; a server in use is kept anyway until a later look. Change: every 10 s the entry drops what belongs to servers that are leaving or unknown to the registry and to routes that are not in force, unless requests use it.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
@@ -12,6 +12,8 @@
 from medlarpass_daemon.entry.callers.route_state import RouteState
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from medlarpass import Clock
     from medlarpass.tables import Route
 
@@ -45,7 +47,7 @@
                 self._reshare()
         return state
 
-    def retain(self, names: frozenset[str]) -> None:
+    def retain(self, names: Set[str]) -> None:
         """Drop the state of routes that are gone and have no requests.
 
         :param names: names of the routes in force
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -90,6 +90,10 @@
                 turn.set_result(None)
                 room -= 1
 
+    def known(self) -> set[str]:
+        """Return the identities of all servers that something is known about."""
+        return {*self.limiters, *self.balancer.loads, *self.ejector.records}
+
     def forget(self, identity: str) -> None:
         """Drop what is known about a server that left."""
         self.balancer.forget(identity)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from collections.abc import Set
+
     from medlarpass import Clock
     from medlarpass_daemon.entry.callers.interfaces import OrderClaims
     from medlarpass_daemon.entry.callers.interfaces import OwnerDirectory
@@ -76,3 +78,17 @@
         #: Orders in flight, which outlive the connection of their caller.
         self.orders: set[asyncio.Task[object]] = set()
         self.is_draining = False
+
+    def retain(self, servers: Set[str], routes: Set[str]) -> None:
+        """Drop what is known about servers that left and routes that were deleted.
+
+        What has requests in flight is kept until a later call.
+
+        :param servers: identities of the servers that have not left
+        :param routes: names of the routes in force
+        """
+        self.admission.retain(routes)
+        for identity in self.client.connectors.keys() - servers:
+            self.client.forget(identity)
+        for identity in self.places.known() - servers:
+            self.places.forget(identity)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
@@ -11,6 +11,8 @@
 from medlarpass.ownership import LeaseProposer
 from medlarpass.ownership.ballot import proposer_name
 from medlarpass.registry import ServerRegistry
+from medlarpass.registry import ServerState
+from medlarpass.rpc import control_pb2
 from medlarpass.rpc import domain_pb2_grpc
 from medlarpass_daemon.entry.acceptor_clients import LocalAcceptorClient
 from medlarpass_daemon.entry.acceptor_clients import RpcAcceptorClient
@@ -48,6 +50,8 @@
 NANOSECONDS_PER_MS = 1_000_000
 #: Reason against readiness until the first configuration is in force.
 NO_CONFIGURATION = "no_configuration"
+#: Seconds between two looks for servers that left, whose state only takes memory.
+DROP_INTERVAL = 10.0
 
 
 class EntryRole:
@@ -137,6 +141,7 @@
         self.tasks = [
             asyncio.create_task(watcher.run()),
             asyncio.create_task(self._follow_configuration()),
+            asyncio.create_task(self._drop_departed()),
             asyncio.create_task(self.coordinator.run()),
             asyncio.create_task(self.exchange.run()),
             *(asyncio.create_task(self._watcher(domain).run()) for domain in self.owners.views),
@@ -157,6 +162,20 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    def drop_departed(self) -> None:
+        """Drop the request path's state of servers that left and routes that were deleted."""
+        servers = {
+            identity
+            for identity, presence in self.registry.presences.items()
+            if presence.state is not ServerState.LEAVING
+        }
+        routes = {
+            item.name
+            for item in self.store.configuration.items
+            if item.kind == control_pb2.ITEM_KIND_ROUTE
+        }
+        self.callers.path.retain(servers, routes)
+
     def _coordinator(self, incarnation: int) -> CoordinatorTask:
         acceptors: dict[str, AcceptorClient] = {
             peer.name: RpcAcceptorClient(self.channels, peer.address, self.entry.coordinator_term)
@@ -211,6 +230,11 @@
     def _fill_loads(self, report: domain_pb2.PeerReport) -> None:
         self.own_loads.fill(report, self.callers)
 
+    async def _drop_departed(self) -> None:
+        while True:
+            await asyncio.sleep(DROP_INTERVAL)
+            self.drop_departed()
+
     async def _follow_configuration(self) -> None:
         self.readiness.block(NO_CONFIGURATION, "no configuration from control or a peer yet")
         while True:
