--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
@@ -7,12 +7,13 @@
 from typing import TYPE_CHECKING
 
 from medlarpass.dispatch import FairShare
-from medlarpass.dispatch import RequestClass
 from medlarpass.dispatch import RouteShare
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.route_state import RouteState
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from medlarpass import Clock
     from medlarpass.tables import Route
 
@@ -46,7 +47,7 @@
                 self._reshare()
         return state
 
-    def retain(self, names: frozenset[str]) -> None:
+    def retain(self, names: Set[str]) -> None:
         """Drop the state of routes that are gone and have no requests.
 
         :param names: names of the routes in force
@@ -126,11 +127,10 @@
     def _reshare(self) -> None:
         before = self.share
         self.share = FairShare(
-            before.capacity, [_share(state.route) for state in self.routes.values()]
+            before.capacity,
+            [
+                RouteShare(state.route.name, state.route.request_class)
+                for state in self.routes.values()
+            ],
         )
         self.share.carry_over(before)
-
-
-def _share(route: Route) -> RouteShare:
-    # The dispatch package and the tables each declare the classes of requests.
-    return RouteShare(route.name, RequestClass(route.request_class.value))
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -17,6 +17,7 @@
 from medlarpass.dispatch import LimiterSettings
 from medlarpass.dispatch import NoServerError
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.loop_lag import LoopLag
 from medlarpass_daemon.entry.callers.place import Place
 
 if TYPE_CHECKING:
@@ -41,7 +42,7 @@
     :param clock: source of time
     """
 
-    __slots__ = ("balancer", "clock", "ejector", "limiters", "waiting")
+    __slots__ = ("balancer", "clock", "ejector", "lag", "limiters", "waiting")
 
     def __init__(self, peer_loads: PeerLoads, clock: Clock) -> None:
         self.clock = clock
@@ -49,6 +50,7 @@
         # The balancer only asks for the requests in flight.
         self.balancer.peers = cast("ReportedLoads", peer_loads)
         self.ejector = Ejector(EjectorSettings(), clock)
+        self.lag = LoopLag(clock)
         self.limiters: dict[str, ConcurrencyLimiter] = {}
         self.waiting: dict[str, dict[asyncio.Future[None], None]] = {}
 
@@ -88,6 +90,10 @@
                 turn.set_result(None)
                 room -= 1
 
+    def known(self) -> set[str]:
+        """Return the identities of all servers that something is known about."""
+        return {*self.limiters, *self.balancer.loads, *self.ejector.records}
+
     def forget(self, identity: str) -> None:
         """Drop what is known about a server that left."""
         self.balancer.forget(identity)
@@ -152,7 +158,7 @@
             # Places that are open hold this limiter, so it is changed and not replaced.
             limiter.slots = target.slots
             limiter.limit = min(limiter.limit, float(target.slots))
-        # Below a limit of 1 the limiter spaces requests in time instead of refusing them for good.
+        # A limit below 1 spaces requests in time; compared with a count it would admit none.
         return limiter.ready_in() == 0.0
 
     async def _wait(self, identities: Sequence[str], timeout: float) -> None:
