Add scenarios of configuration and replica losses

Cause: races of operators, resent changes, cut-off domains and lost disks were tested only inside one process.

Change: six scenarios on 5 control replicas and 6 entries in 3 domains.

These scenarios were not run with a protection switched off.

--- /dev/null
+++ b/tests/scenarios/test_configuration.py
@@ -0,0 +1,365 @@
+"""Guards against lost, forked or reverted configurations."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import shutil
+
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from tests.scenarios.systems import is_good
+from tests.scenarios.systems import order
+from tests.scenarios.systems import running_system
+from tests.support.http_call import call
+from tests.support.process import eventually
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tests.support.cluster import Cluster
+    from tests.support.cluster import Node
+    from tests.support.http_call import HttpAnswer
+
+scenarios("configuration.feature")
+
+NUMBERS = itertools.count(1)
+REVISION_METRIC = "medlarpass_configuration_revision"
+POOL = "orders"
+
+
+def _prepare(cluster: Cluster) -> None:
+    cluster.add_servers("order-a", "a", POOL, 2)
+    cluster.add_servers("order-c", "c", POOL, 2)
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    with running_system(tmp_path_factory.mktemp("tables"), _prepare, entries=2) as system:
+        yield system
+
+
+class Changes:
+    """Changes of a scenario and what became of them."""
+
+    def __init__(self) -> None:
+        self.answers: list[HttpAnswer | None] = []
+        self.change_id = ""
+        self.items: list[dict[str, Any]] = []
+        self.first: dict[str, Any] = {}
+        self.nodes: list[Node] = []
+        self.before: dict[str, int] = {}
+        self.seen: dict[str, int] = {}
+        self.identities: dict[str, str] = {}
+
+
+@pytest.fixture
+def changes() -> Changes:
+    return Changes()
+
+
+def _version(cluster: Cluster) -> int:
+    answer = next(
+        answer
+        for node in cluster.control
+        if is_good(answer := call("GET", node.front, f"/v1/pools/{POOL}", timeout=3))
+    )
+    assert answer is not None
+    return int(answer.json()["version"])
+
+
+def _items(version: int, moves: int) -> list[dict[str, Any]]:
+    document = {"moves_per_minute": moves}
+    return [{"kind": "pool", "name": POOL, "expected_version": version, "document": document}]
+
+
+def _accept(cluster: Cluster, changes: Changes) -> None:
+    """Send a change until it is accepted; a resent one keeps its id."""
+    changes.change_id = f"change-{next(NUMBERS)}"
+    changes.items = _items(_version(cluster), next(NUMBERS))
+
+    def accepted() -> bool:
+        for node in cluster.control:
+            if not node.child.running:
+                continue
+            answer = _send(node, changes.change_id, changes.items)
+            if is_good(answer):
+                assert answer is not None
+                changes.first = answer.json()
+                return True
+        return False
+
+    eventually("the change is accepted", accepted)
+
+
+def _send(node: Node, change_id: str, items: list[dict[str, Any]]) -> HttpAnswer | None:
+    body = json.dumps({"change_id": change_id, "items": items}).encode()
+    return call("POST", node.front, "/v1/changes", body, timeout=8)
+
+
+def _revisions(cluster: Cluster) -> dict[str, int]:
+    return {place: revision for place, revision in cluster.in_force().items() if "entry" in place}
+
+
+@given("3 domains with 2 entries each and 5 control replicas")
+def system(cluster: Cluster) -> None:
+    assert len(cluster.entries) == 6
+    eventually("there is a leader", cluster.leader)
+
+
+@when(
+    parsers.parse("{count:d} operators change the same pool with the same expected version at once")
+)
+def race(cluster: Cluster, changes: Changes, count: int) -> None:
+    version = _version(cluster)
+    with ThreadPoolExecutor(count) as pool:
+        calls = [
+            pool.submit(
+                _send,
+                cluster.control[number % len(cluster.control)],
+                f"race-{number}",
+                _items(version, 1000 + number),
+            )
+            for number in range(count)
+        ]
+        changes.answers = [each.result() for each in calls]
+
+
+@then("exactly one change is accepted and the others get a version conflict")
+def one_wins(cluster: Cluster, changes: Changes) -> None:
+    outcomes = sorted(
+        (answer.status, answer.json().get("code", "")) if answer else (0, "")
+        for answer in changes.answers
+    )
+    assert outcomes[0][0] == 200
+    assert outcomes[1:] == [(409, "version_conflict")] * (len(outcomes) - 1)
+    changes.first = next(each.json() for each in changes.answers if each and each.status == 200)
+
+
+@then("the accepted change is in force at all entries")
+def in_force(cluster: Cluster, changes: Changes) -> None:
+    wanted = changes.first["revision"]
+
+    def reached() -> bool:
+        revisions = _revisions(cluster)
+        return len(revisions) == len(cluster.entries) and min(revisions.values()) >= wanted
+
+    eventually(f"revision {wanted} is in force at all entries", reached)
+
+
+@when("a change is sent, its answer is lost and it is resent through each replica")
+def resend_through_all(cluster: Cluster, changes: Changes) -> None:
+    _accept(cluster, changes)
+    changes.answers = [_send(node, changes.change_id, changes.items) for node in cluster.control]
+
+
+@then("each replica returns the first outcome")
+def same_outcome(changes: Changes) -> None:
+    assert [each and each.json() for each in changes.answers] == [changes.first] * 5
+
+
+@when("a change is accepted and the leader is killed at once")
+def kill_leader(cluster: Cluster, changes: Changes) -> None:
+    leader = cluster.leader()
+    assert leader is not None
+    _accept(cluster, changes)
+    leader.child.kill()
+    changes.nodes = [leader]
+
+
+@then("the change resent through another replica has the first outcome")
+def resent_elsewhere(cluster: Cluster, changes: Changes) -> None:
+    other = next(node for node in cluster.control if node not in changes.nodes)
+
+    def answered() -> bool:
+        answer = _send(other, changes.change_id, changes.items)
+        if answer is None or answer.status != 200:
+            return False
+        assert answer.json() == changes.first
+        return True
+
+    eventually("the resent change is answered", answered)
+
+
+@when("the killed replica is started again")
+def start_replica(changes: Changes) -> None:
+    changes.nodes[0].child.start()
+
+
+@then("all replicas show the accepted change")
+def all_show(cluster: Cluster, changes: Changes) -> None:
+    for node in cluster.control:
+
+        def shows(port: int = node.front) -> bool:
+            answer = call("GET", port, "/v1/pools?stale=true", timeout=3)
+            if answer is None or answer.status != 200:
+                return False
+            return bool(answer.json()["revision"] >= changes.first["revision"])
+
+        eventually(f"{node.name} shows revision {changes.first['revision']}", shows)
+
+
+@when(parsers.parse('domain "{domain}" is cut off'))
+def cut_off(cluster: Cluster, changes: Changes, domain: str) -> None:
+    _accept(cluster, changes)
+    in_force(cluster, changes)
+    changes.before = _revisions(cluster)
+    cluster.relays.isolate(domain)
+
+
+@when(parsers.parse("{count:d} changes are accepted"))
+def accept_many(cluster: Cluster, changes: Changes, count: int) -> None:
+    _accept(cluster, changes)
+    first = (changes.change_id, changes.items, changes.first)
+    version = _version(cluster)
+    port_node = cluster.control[0]
+    for _ in range(count - 1):
+        answer = _send(port_node, f"change-{next(NUMBERS)}", _items(version, next(NUMBERS)))
+        assert answer is not None
+        assert answer.status == 200, answer.body
+        changes.first = answer.json()
+        version += 1
+    changes.change_id, changes.items, outcome = first
+    changes.identities["first outcome"] = str(outcome["revision"])
+
+
+def _metric(node: Node, name: str) -> float | None:
+    answer = call("GET", node.platform, "/metrics", timeout=3)
+    if answer is None:
+        return None
+    for line in answer.body.decode().splitlines():
+        if line.startswith(name) and not line.startswith("#"):
+            return float(line.rsplit(" ", 1)[1])
+    return None
+
+
+@then(parsers.parse('the entries of domain "{domain}" stay at the revision before'))
+def stay(cluster: Cluster, changes: Changes, domain: str) -> None:
+    for entry in cluster.of_domain(domain):
+        revision = _metric(entry, REVISION_METRIC)
+        assert revision == changes.before[entry.name]
+
+
+@when(parsers.parse('an entry of domain "{domain}" is restarted'))
+def restart_entry(cluster: Cluster, changes: Changes, domain: str) -> None:
+    entry = cluster.of_domain(domain)[0]
+    entry.child.kill()
+    entry.child.start()
+    changes.nodes = [entry]
+
+
+@then("it gets the configuration from its peer")
+def from_peer(cluster: Cluster, changes: Changes) -> None:
+    entry = changes.nodes[0]
+    eventually(
+        f"{entry.name} has the revision of its peer",
+        lambda: _metric(entry, REVISION_METRIC) == changes.before[entry.name],
+    )
+    name = f"cut-off-{next(NUMBERS)}"
+    eventually("an order without a key runs", lambda: is_good(order(entry.front, name)))
+
+
+@when("the partition is healed")
+def heal(cluster: Cluster) -> None:
+    cluster.relays.heal()
+
+
+@then("no entry went back to an older revision")
+def never_back(cluster: Cluster, changes: Changes) -> None:
+    after = _revisions(cluster)
+    assert {place: after[place] >= before for place, before in changes.before.items()} == (
+        dict.fromkeys(changes.before, True)
+    )
+
+
+@when("a replica that follows is killed and started again")
+def restart_follower(cluster: Cluster, changes: Changes) -> None:
+    leader = cluster.leader()
+    follower = next(node for node in cluster.control if node is not leader)
+    follower.child.kill()
+    follower.child.start()
+    changes.nodes = [follower]
+
+
+@then("the first of these changes resent through it has the first outcome")
+def first_again(changes: Changes) -> None:
+    answer = _send(changes.nodes[0], changes.change_id, changes.items)
+    assert answer is not None
+    assert answer.status == 200, answer.body
+    assert str(answer.json()["revision"]) == changes.identities["first outcome"]
+
+
+def _members(cluster: Cluster) -> list[dict[str, Any]]:
+    return cluster.report("replicas")
+
+
+@when("two replicas are killed and their data folders are emptied")
+def lose_disks(cluster: Cluster, changes: Changes) -> None:
+    leader = cluster.leader()
+    assert leader is not None
+    other = next(node for node in cluster.control if node is not leader)
+    changes.nodes = [leader, other]
+    changes.identities = {each["name"]: each["identity"] for each in _members(cluster)}
+    for node in changes.nodes:
+        node.child.kill()
+        folder = Path(cluster.folder / f"{node.name}.data")
+        shutil.rmtree(folder)
+        folder.mkdir()
+
+
+@then("a change is accepted")
+def accepted(cluster: Cluster, changes: Changes) -> None:
+    _accept(cluster, changes)
+
+
+@when("both are started empty and replaced by the operator")
+def replace(cluster: Cluster, changes: Changes) -> None:
+    for node in changes.nodes:
+        node.child.start()
+        document = {"name": node.name, "domain": node.domain, "address": f"127.0.0.1:{node.rpc}"}
+        path = f"/v1/replicas/{changes.identities[node.name]}"
+        survivors = [each for each in cluster.control if each not in changes.nodes]
+
+        def replaced(
+            path: str = path, document: dict[str, Any] = document, to: Node = survivors[0]
+        ) -> bool:
+            body = {"change_id": f"replace-{next(NUMBERS)}"} | document
+            return is_good(_put(to, path, body))
+
+        eventually(f"{node.name} is replaced", replaced)
+
+
+def _put(node: Node, path: str, document: dict[str, Any]) -> HttpAnswer | None:
+    return call("PUT", node.front, path, json.dumps(document).encode(), timeout=10)
+
+
+@then("five voters answer")
+def five_voters(cluster: Cluster) -> None:
+    def complete() -> bool:
+        members = _members(cluster)
+        return len(members) == 5 and all(each["voter"] and each["status"] for each in members)
+
+    eventually("five voters answer", complete)
+
+
+@then("a change is accepted after the loss of two other replicas")
+def second_loss(cluster: Cluster, changes: Changes) -> None:
+    others = [node for node in cluster.control if node not in changes.nodes][:2]
+    before = changes.first["revision"]
+    for node in others:
+        node.child.kill()
+    _accept(cluster, changes)
+    assert changes.first["revision"] == before + 1
+    for node in others:
+        node.child.start()
--- a/tests/support/load.py
+++ b/tests/support/load.py
@@ -59,6 +59,7 @@
     :param callers: number of concurrent callers
     :param kinds: kinds of requests to send
     :param keys: number of different keys
+    :param pause: seconds between two requests of a caller
     """
 
     def __init__(
@@ -68,11 +69,13 @@
         callers: int = 8,
         kinds: Sequence[str] = KINDS,
         keys: int = 60,
+        pause: float = 0.0,
     ) -> None:
         self.ports = list(ports)
         self.seed = seed
         self.kinds = list(kinds)
         self.keys = keys
+        self.pause = pause
         self.numbers = itertools.count()
         self.limit: int | None = None
         self.stopped = threading.Event()
@@ -125,6 +128,7 @@
                 return
             connection = connections[rng.choice(self.ports)]
             actions[rng.choice(self.kinds)](connection, number, rng)
+            self.stopped.wait(self.pause)
 
     def _enquiry(self, connection: CallerConnection, number: int, rng: random.Random) -> None:
         key = f"roll-{rng.randrange(self.keys)}"
