Ask for an owner with fewer calls and make request ids without a system call

Cause: the owner of a key was asked three times per request, with a hash of the key, a generator over the views and a reading of the clock for each; framing headers were collected although most requests have none; each request id took a system call. Change: the check of an owner uses the shard of the target, the views are compared in one call, framing is checked only where there is any, and request ids come from a generator seeded by the system. Request ids were never secrets.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 
 from typing import TYPE_CHECKING
 
@@ -166,9 +165,11 @@
             response = await self._respond(request)
             if self.path.is_draining:
                 response.force_close()
-            with contextlib.suppress(ConnectionError):
+            try:
                 await response.prepare(request)
                 await response.write_eof()
+            except ConnectionError:
+                pass
             return response
         finally:
             self.in_flight -= 1
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/headers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/headers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import random
 import re
-import secrets
 
 from functools import lru_cache
 from typing import TYPE_CHECKING
@@ -27,6 +27,10 @@
 REPLAYED = "Medlarpass-Replayed"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 
+#: Seeded by the operating system. Request ids have to be unique, not secret; a system call for each
+#: would take longer.
+IDS = random.Random()
+
 CONTROL_PREFIX = "medlarpass-"
 REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,128}")
 IDEMPOTENCY_KEY_PATTERN = re.compile(r"[ -~]{1,255}")
@@ -59,7 +63,7 @@
     given = headers.get(REQUEST_ID)
     if given is not None and REQUEST_ID_PATTERN.fullmatch(given):
         return given
-    return secrets.token_hex(16)
+    return f"{IDS.getrandbits(128):032x}"
 
 
 def check_headers(headers: CIMultiDictProxy[str], version: tuple[int, int]) -> None:
@@ -68,6 +72,17 @@
     :param version: HTTP version of the request
     :raises InvalidHeaderError: naming the header
     """
+    if "Content-Length" in headers or "Transfer-Encoding" in headers:
+        _check_framing(headers)
+    hosts = headers.getall("Host", ())
+    if len(hosts) > 1 or (not hosts and version >= (1, 1)):
+        raise InvalidHeaderError("Host: expected once")
+    expectation = headers.get("Expect")
+    if expectation is not None and expectation.lower() != "100-continue":
+        raise InvalidHeaderError("Expect: expected 100-continue")
+
+
+def _check_framing(headers: CIMultiDictProxy[str]) -> None:
     lengths = headers.getall("Content-Length", ())
     codings = headers.getall("Transfer-Encoding", ())
     if len(lengths) > 1 or any(not LENGTH_PATTERN.fullmatch(length) for length in lengths):
@@ -76,12 +91,6 @@
         raise InvalidHeaderError("Transfer-Encoding: not allowed together with Content-Length")
     if len(codings) > 1 or any(coding.strip().lower() != "chunked" for coding in codings):
         raise InvalidHeaderError("Transfer-Encoding: expected chunked only")
-    hosts = headers.getall("Host", ())
-    if len(hosts) > 1 or (not hosts and version >= (1, 1)):
-        raise InvalidHeaderError("Host: expected once")
-    expectation = headers.get("Expect")
-    if expectation is not None and expectation.lower() != "100-continue":
-        raise InvalidHeaderError("Expect: expected 100-continue")
 
 
 def deadline_of(headers: CIMultiDictProxy[str]) -> float | None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from operator import attrgetter
+from operator import is_
 from typing import TYPE_CHECKING
 
 from medlarpass.ownership import OwnershipView
@@ -24,6 +26,9 @@
     from medlarpass.tables import Pool
     from medlarpass_daemon.entry.own_loads import OwnLoads
 
+GRANTS = attrgetter("owners")
+NO_GRANTS: list[tuple[OwnershipView, Owner]] = []
+
 
 class TargetFactory:
     """Makes targets of servers, with the address that this entry reaches them by.
@@ -66,11 +71,13 @@
     view has the same ones. Sessions change all the time and are looked up in the views.
 
     :param views: views of the domains
+    :param clock: clock of this process
     """
 
-    __slots__ = ("isolated", "known", "shards", "views")
+    __slots__ = ("clock", "isolated", "known", "shards", "views")
 
-    def __init__(self, views: Iterable[OwnershipView]) -> None:
+    def __init__(self, views: Iterable[OwnershipView], clock: Clock) -> None:
+        self.clock = clock
         self.views = tuple(views)
         #: The grants that the index was built from, for each view.
         self.known: list[object] = []
@@ -89,9 +96,10 @@
         """
         self._refresh()
         found = None
+        now = self.clock.now()
         for view, owner in self._granted(pool, shard, key):
             until = view.sessions.get((owner.server, owner.incarnation))
-            if until is None or view.clock.now() >= until:
+            if until is None or now >= until:
                 continue
             if found is None or found.fence < owner.fence:
                 found = owner
@@ -99,7 +107,7 @@
 
     def _granted(self, pool: str, shard: int, key: str) -> list[tuple[OwnershipView, Owner]]:
         """Return one grant per view at most; that of an isolated key hides that of its shard."""
-        whole = self.shards.get((pool, shard), [])
+        whole = self.shards.get((pool, shard), NO_GRANTS)
         apart = self.isolated.get((pool, shard, key)) if self.isolated else None
         if not apart:
             return whole
@@ -107,12 +115,8 @@
         return apart + [each for each in whole if each[0] not in hidden]
 
     def _refresh(self) -> None:
-        for view, known in zip(self.views, self.known, strict=False):
-            if view.owners is not known:
-                break
-        else:
-            if self.known:
-                return
+        if self.known and all(map(is_, map(GRANTS, self.views), self.known)):
+            return
         self.known = [view.owners for view in self.views]
         self.shards.clear()
         self.isolated.clear()
@@ -152,7 +156,7 @@
         self.registry = registry
         self.targets = targets
         self.views = {domain: OwnershipView(clock) for domain in domains}
-        self.grants = GrantIndex(self.views.values())
+        self.grants = GrantIndex(self.views.values(), clock)
         self.change = asyncio.Event()
 
     def owner_of(self, pool: Pool, key: str) -> Target:
@@ -172,12 +176,16 @@
 
     def is_current(self, pool: Pool, key: str, target: Target) -> bool:
         """Tell whether the target still owns the key under the same fence."""
-        shard = shard_of(pool.name, key, pool.shards)
-        owner = self.grants.find(pool.name, shard, key)
+        # The target was found for this key, so its shard is that of the key.
+        shard = target.shard
+        owner = None if shard is None else self.grants.find(pool.name, shard, key)
         if owner is None:
             return False
-        known = (owner.server, owner.incarnation, owner.fence.to_int())
-        return known == (target.identity, target.incarnation, target.fence)
+        return (
+            owner.server == target.identity
+            and owner.incarnation == target.incarnation
+            and owner.fence.to_int() == target.fence
+        )
 
     async def wait_for_change(self, timeout: float) -> None:
         """Return after the next change of grants, or after ``timeout`` seconds."""
