Use the staleness setting, report sessions, set readiness and drop stale lag

Cause: found while the operations page was written: entry.server_staleness had no effect, HOLDS_SESSION was always no, medlarpass_ready was never set, and a dead replica kept its last lag.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/application.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/application.py
@@ -61,6 +61,7 @@
         self.rpc = RpcServer(settings)
         self.metrics = Metrics()
         self.readiness = Readiness()
+        self.metrics.ready.set_function(lambda: float(self.readiness.is_ready))
         self.platform = PlatformServer(settings, self.readiness, self.metrics.registry)
         self.log_writer = LogWriter(settings.log_file, self.metrics.log_lines_dropped.inc)
         self.entry: EntryRole | None = None
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/status_poller.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/status_poller.py
@@ -46,6 +46,8 @@
 
     def _set_gauges(self) -> None:
         self.metrics.replication_role.set(self.replica.is_leader)
+        # A replica that no longer answers or was removed must not keep its last value.
+        self.metrics.replication_lag.clear()
         last = max((each.last_index for each in self.statuses.values()), default=0)
         for status in self.statuses.values():
             self.metrics.replication_lag.labels(status.replica).set(last - status.last_index)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
@@ -34,6 +34,7 @@
     from medlarpass_daemon.settings import DaemonSettings
     from medlarpass_daemon.settings import EntrySettings
 
+MILLISECONDS = 1000
 #: Seconds between two looks at sessions, unless something happens earlier.
 TICK = 0.02
 #: Seconds between two plans while all shards have owners, and while some have none.
@@ -359,6 +360,13 @@
 
     def _domain_report(self) -> control_pb2.DomainReport:
         grants = self.coordinator.grants
+        servers = self.registry.statuses(self.settings.domain)
+        for server in servers:
+            session = self.coordinator.sessions.live(server.identity, server.incarnation)
+            if session is not None:
+                server.holds_session = True
+                remaining = session.expiry - self.clock.now()
+                server.session_remaining_ms = max(0, int(remaining * MILLISECONDS))
         return control_pb2.DomainReport(
             domain=self.settings.domain,
             coordinator=self.settings.name,
@@ -366,7 +374,7 @@
             needs_new_epochs=grants.epochs_pending,
             loads=self.planner.pool_loads(self.store.pools),
             released=grants.released_shards(),
-            servers=self.registry.statuses(self.settings.domain),
+            servers=servers,
             grants=grants.visible(),
         )
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
@@ -103,7 +103,7 @@
         self.channels = channels
         self.clock = clock
         self.store = ConfigurationStore()
-        self.registry = ServerRegistry(clock)
+        self.registry = ServerRegistry(clock, entry.server_staleness)
         self.targets = TargetFactory(settings.address_translation)
         self.loads = LoadReports(settings.name, clock)
         self.own_loads = OwnLoads(self.store, clock)
--- a/packages/medlarpass/src/medlarpass/registry/server_registry.py
+++ b/packages/medlarpass/src/medlarpass/registry/server_registry.py
@@ -54,12 +54,14 @@
     """Aggregate that never goes back to an older incarnation or undoes ``draining`` or ``leaving``.
 
     :param clock: clock of this entry
+    :param silence_limit: age of a server's last word, in seconds, after which it gets no more work
     """
 
-    __slots__ = ("clock", "drained", "presences", "revision")
+    __slots__ = ("clock", "drained", "presences", "revision", "silence_limit")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, silence_limit: float = SILENCE_LIMIT) -> None:
         self.clock = clock
+        self.silence_limit = silence_limit
         self.presences: dict[str, Presence] = {}
         self.drained: frozenset[str] = frozenset()
         #: Grows with each new incarnation, state or drain.
@@ -123,7 +125,7 @@
 
         :param presence: what is known about the server
         """
-        return self.clock.now() - presence.heard_at > SILENCE_LIMIT
+        return self.clock.now() - presence.heard_at > self.silence_limit
 
     def heard_directly(self) -> list[pb.ServerStatus]:
         """Return the servers that this entry has heard itself, with age, for its peers."""
