Keep the failures that random faults found as tests

GrantTable.release_of does that for each isolated key of a shard, and GrantHolder then takes its own lower fence of the key as released. test_isolated_key.py shows it without processes. Seed 10 failed because two runs of the test on this machine shared ports. Each run holds a block of ports for itself. Safety is checked before the wait until all keys are served, and again after it. Seeds 1 and 7, which failed, are the normal run in place of 1 and 2, so that it stays at two seeds.

--- a/tests/agreement/test_random_faults.py
+++ b/tests/agreement/test_random_faults.py
@@ -47,9 +47,11 @@
     from tests.support.cluster import Node
 
 ROOT = Path(__file__).resolve().parents[2]
-SEEDS = (1, 2)
-#: Seeds that once showed a fault, with what they showed.
-FAILED_SEEDS: dict[int, str] = {}
+#: Seeds of the normal run with what they have shown; a seed that showed a fault stays here.
+SEEDS = {
+    1: "an isolated key was refused as stale-fence for good, see test_isolated_key.py",
+    7: "an entry did not serve a key within 30 s after the faults; seen once, cause not proven",
+}
 EXTRA_SEEDS = "MEDLARPASS_AGREEMENT_SEEDS"
 #: Seconds of faults; shorter than 20 so that two seeds take about a minute with start and end.
 FAULT_SECONDS = 15.0
@@ -103,7 +105,7 @@
 
 def seeds() -> list[int]:
     extra = [int(seed) for seed in os.environ.get(EXTRA_SEEDS, "").split(",") if seed]
-    return list(dict.fromkeys([*SEEDS, *FAILED_SEEDS, *extra]))
+    return list(dict.fromkeys([*SEEDS, *extra]))
 
 
 class Faults:
@@ -153,7 +155,8 @@
 
 @pytest.fixture
 def cluster(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Cluster]:
-    monkeypatch.setattr("tests.support.cluster.PortPool", FixedPortPool)
+    ports = FixedPortPool()
+    monkeypatch.setattr("tests.support.cluster.PortPool", lambda: ports)
     system = Cluster(tmp_path, ROOT)
     for domain in system.domains:
         for number in (1, 2):
@@ -164,12 +167,13 @@
         yield system
     finally:
         system.close()
+        ports.close()
 
 
 @pytest.mark.parametrize("seed", seeds())
 def test_guarantees_under_random_faults(seed: int, cluster: Cluster) -> None:
     eventually("the tables are accepted", lambda: tables_accepted(cluster), SETTLE_TIMEOUT)
-    eventually("all entries serve keys", lambda: all_serve(cluster), SETTLE_TIMEOUT)
+    wait_until_all_serve(cluster)
     faults = Faults(cluster)
     plan = fault_plan(seed, faults.layout, FAULT_SECONDS)
     print(f"seed {seed}: {plan}")
@@ -180,24 +184,26 @@
     clients.stop()
     print(history.summary())
     assert_running(cluster)
-    final = settled(cluster)
-    history.reads.append(final)
-    try:
-        eventually("all entries serve again", lambda: all_serve(cluster), SETTLE_TIMEOUT)
-    except AssertionError as error:
-        raise AssertionError("\n".join([str(error), *diagnosis(cluster)])) from error
+    history.reads.append(settled(cluster))
+    # Safety first: a key that nobody serves must not hide a violation.
+    assert_guarantees(cluster, history)
+    wait_until_all_serve(cluster)
     eventually("the last change is in force", lambda: in_force_everywhere(cluster), SETTLE_TIMEOUT)
+    # Again, because a process may have gone on with work from before the end of its fault.
+    assert_guarantees(cluster, history)
+    assert_not_empty(history)
+
 
-    found = check_register(
-        history.changes, history.reads, *split(register_chain(audit_trail(cluster)))
-    )
+def assert_guarantees(cluster: Cluster, history: History) -> None:
+    """Check what has been recorded until now."""
+    changes, initial = split(register_chain(audit_trail(cluster)))
+    found = check_register(history.changes, history.reads, changes, initial)
     found += check_grants(history.enquiries)
     found += check_grants(server_acceptances(cluster))
     found += check_orders(history.orders, cluster.orders_run())
     for entry in cluster.entries:
         found += check_revisions(revision_reports(entry.name, entry.child.log()))
     assert not found, "\n".join(found)
-    assert_not_empty(history)
 
 
 def tables_accepted(cluster: Cluster) -> bool:
@@ -215,6 +221,15 @@
         assert child.running, f"{child.name} ended: {child.log()[-2000:]}"
 
 
+def wait_until_all_serve(cluster: Cluster) -> None:
+    """Wait until each entry answers an enquiry, and show why if one does not."""
+    try:
+        eventually("all entries serve", lambda: all_serve(cluster), SETTLE_TIMEOUT)
+    except AssertionError as error:
+        assert_running(cluster)
+        raise AssertionError("\n".join([str(error), *diagnosis(cluster)])) from error
+
+
 def all_serve(cluster: Cluster) -> bool:
     """Return whether each entry answers an enquiry."""
     return all(answered(entry) == str(HTTP_OK) for entry in cluster.entries)
