Take a place at a single server with one look at its limiter

Cause: the room at the server was asked for twice, before and while the place was taken. Ruled out: a place without its bookkeeping for owners; the load reports to peers need it. Change: a single candidate tries its limiter directly. A request that the limiter paces waits instead of being sent uncounted.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -107,7 +107,6 @@
     ) -> Place | None:
         if len(targets) == 1:
             return self._try_only(targets[0], has_waited)
-        # A new request does not overtake those that wait for the same server.
         free = [
             target
             for target in targets
@@ -126,10 +125,12 @@
 
         Neither its health nor an earlier attempt matters then.
         """
-        if not self._has_room(target) or (not has_waited and self.waiting.get(target.identity)):
+        # A new request does not overtake those that wait for the same server.
+        if not has_waited and self.waiting.get(target.identity):
+            return None
+        limiter = self._limiter(target)
+        if not limiter.try_acquire():
             return None
-        limiter = self.limiters[target.identity]
-        limiter.try_acquire()
         return Place(self, target, limiter, frozenset((target.identity,)))
 
     def _choose(self, free: Sequence[Target], targets: Sequence[Target]) -> Target | None:
@@ -150,6 +151,10 @@
         return next(target for target in free if target.identity == chosen.identity)
 
     def _has_room(self, target: Target) -> bool:
+        # A limit below 1 spaces requests in time; compared with a count it would admit none.
+        return self._limiter(target).ready_in() == 0.0
+
+    def _limiter(self, target: Target) -> ConcurrencyLimiter:
         limiter = self.limiters.get(target.identity)
         if limiter is None:
             limiter = ConcurrencyLimiter(LimiterSettings(), self.clock, target.slots)
@@ -158,8 +163,7 @@
             # Places that are open hold this limiter, so it is changed and not replaced.
             limiter.slots = target.slots
             limiter.limit = min(limiter.limit, float(target.slots))
-        # A limit below 1 spaces requests in time; compared with a count it would admit none.
-        return limiter.ready_in() == 0.0
+        return limiter
 
     async def _wait(self, identities: Sequence[str], timeout: float) -> None:
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
