Add scenarios of planned stops

Cause: no test stopped an entry or the control leader with work in flight.

Change: SIGTERM of an entry with a download and an order in flight, a second SIGTERM, and SIGTERM of the control leader. The check that keys are served asks with a deadline of 1 s, so that a failure shows soon.

These scenarios were not run with a protection switched off.

--- a/tests/scenarios/systems.py
+++ b/tests/scenarios/systems.py
@@ -123,7 +123,7 @@
         seen: list[object] = []
 
         def served(path: str = f"/stock/{key}", seen: list[object] = seen) -> bool:
-            answer = call("GET", port, path)
+            answer = call("GET", port, path, headers={"Medlarpass-Deadline-Ms": "1000"})
             seen[:] = [answer and (answer.status, answer.body)]
             return is_good(answer)
 
--- /dev/null
+++ b/tests/scenarios/test_planned_stop.py
@@ -0,0 +1,172 @@
+"""Guards against requests that a planned stop cuts off."""
+
+from __future__ import annotations
+
+import itertools
+import time
+
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import pytest
+
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from examples.standin.server import download_fill
+from tests.scenarios.systems import is_good
+from tests.scenarios.systems import order
+from tests.scenarios.systems import running_system
+from tests.scenarios.systems import wait_keys_served
+from tests.scenarios.systems import wait_served
+from tests.support.http_call import call
+from tests.support.process import eventually
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tests.support.cluster import Cluster
+    from tests.support.cluster import Node
+    from tests.support.http_call import HttpAnswer
+
+scenarios("planned_stop.feature")
+
+NUMBERS = itertools.count()
+POSITIONS = {"second": 1, "third": 2}
+#: 40 pieces of 64 KiB, 100 ms each: about 4 s.
+DOWNLOAD = "/download/2621440"
+PIECE_MS = "100"
+ORDER_MS = 2000
+
+
+def _prepare(cluster: Cluster) -> None:
+    for pool in ("stock", "orders", "artwork"):
+        cluster.add_servers(pool, "a", pool, 2)
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    folder = tmp_path_factory.mktemp("stop")
+    with running_system(folder, _prepare, domains=("a",), replicas=("a",) * 3) as system:
+        yield system
+
+
+class Flight:
+    """Requests in flight."""
+
+    def __init__(self) -> None:
+        self.pool = ThreadPoolExecutor(2)
+        self.download: Future[HttpAnswer | None] | None = None
+        self.order: Future[HttpAnswer | None] | None = None
+        self.name = f"stop-{next(NUMBERS)}"
+        self.node: Node | None = None
+
+    @property
+    def stopped(self) -> Node:
+        assert self.node is not None
+        return self.node
+
+
+@pytest.fixture
+def flight(cluster: Cluster) -> Iterator[Flight]:
+    state = Flight()
+    yield state
+    state.pool.shutdown()
+    if state.node is not None and not state.node.child.running:
+        state.node.child.start()
+
+
+@given("a domain with 3 entries, 3 control replicas and servers of each kind")
+def domain(cluster: Cluster) -> None:
+    wait_served(cluster)
+
+
+def _downloads(cluster: Cluster) -> int:
+    return sum(event["event"] == "download" for event in cluster.ownership_events())
+
+
+@when(parsers.parse("a download and an order are in flight through the {position} entry"))
+def in_flight(cluster: Cluster, flight: Flight, position: str) -> None:
+    flight.node = cluster.entries[POSITIONS[position]]
+    port = flight.node.front
+    before = _downloads(cluster)
+    headers = {"Standin-Work-Ms": PIECE_MS}
+    flight.download = flight.pool.submit(call, "GET", port, DOWNLOAD, None, headers, 30)
+    flight.order = flight.pool.submit(order, port, flight.name, flight.name, work_ms=ORDER_MS)
+    eventually("the download runs", lambda: _downloads(cluster) > before)
+    eventually("the order runs", lambda: flight.name in cluster.orders_run())
+
+
+@when(parsers.parse("the {position} entry gets SIGTERM"))
+def terminate(flight: Flight, position: str) -> None:
+    flight.stopped.child.terminate()
+
+
+@when(parsers.parse("the {position} entry gets SIGTERM twice"))
+def terminate_twice(flight: Flight, position: str) -> None:
+    flight.stopped.child.terminate()
+    eventually(
+        "the entry is not ready",
+        lambda: (answer := call("GET", flight.stopped.platform, "/readyz"))
+        and answer.status != 200,
+    )
+    flight.stopped.child.terminate()
+
+
+@then("the download and the order are answered as a whole")
+def answered(flight: Flight) -> None:
+    assert flight.download is not None
+    assert flight.order is not None
+    download = flight.download.result()
+    assert download is not None, "the download was cut off"
+    size = int(DOWNLOAD.rsplit("/", 1)[1])
+    assert download.body == download_fill(DOWNLOAD) * size
+    answer = flight.order.result()
+    assert answer is not None, "the order was cut off"
+    assert answer.status == 200, answer.body
+    assert answer.json()["order"] == flight.name
+
+
+@then(parsers.parse("the entry exits with status {status:d}"))
+def exits(flight: Flight, status: int) -> None:
+    assert flight.stopped.child.wait() == status, flight.stopped.child.log()[-2000:]
+
+
+@then("the order ran once")
+def ran_once(cluster: Cluster, flight: Flight) -> None:
+    assert cluster.orders_run().count(flight.name) == 1
+
+
+@then("all sample keys are served by the other entries")
+def others_serve(cluster: Cluster, flight: Flight) -> None:
+    for entry in cluster.entries:
+        if entry is not flight.node:
+            wait_keys_served(entry.front)
+
+
+@when("the control leader gets SIGTERM")
+def stop_leader(cluster: Cluster, flight: Flight) -> None:
+    flight.node = cluster.leader()
+    flight.stopped.child.terminate()
+
+
+@then("it exits with status 0")
+def leader_exits(flight: Flight) -> None:
+    assert flight.stopped.child.wait() == 0, flight.stopped.child.log()[-2000:]
+
+
+@then("another replica leads and accepts a change")
+def change_accepted(cluster: Cluster, flight: Flight) -> None:
+    since = time.monotonic()
+    others = [node for node in cluster.control if node is not flight.node]
+    item = {"kind": "pool", "name": "spare", "expected_version": 0, "document": {}}
+
+    def accepted() -> bool:
+        return is_good(cluster.change("after-stop", [item], others[0]))
+
+    eventually("a change is accepted", accepted)
+    print(f"a change was accepted {time.monotonic() - since:.3f} s after the leader's exit")
