Let the owner of a shard serve its own isolated key

Cause: the coordinator asked the owner of a shard to release every isolated key at the fence of the shard, also a key with a grant of its own at the same server. Change: keys that the same incarnation owns are left out of the release.

--- a/packages/medlarpass/src/medlarpass/ownership/grant_table.py
+++ b/packages/medlarpass/src/medlarpass/ownership/grant_table.py
@@ -374,8 +374,7 @@
             if grant.releasing:
                 result.append(_release(grant.assignment, grant.fence))
             if grant.assignment.key is None:
-                parts = self.index.parts(grant.assignment.pool, grant.assignment.shard)
-                result.extend(_release(each, grant.fence) for each in parts if each.key is not None)
+                result.extend(_release(key, grant.fence) for key in self._foreign_keys(grant))
         for assignment, fence in self.carving.items():
             whole = self.grants[assignment.whole]
             if self._is_of(whole, server, incarnation):
@@ -453,6 +452,20 @@
         self.committed = stored
         self.pending = {each: state for each, state in self.pending.items() if each > version}
 
+    def _foreign_keys(self, whole: Grant) -> list[Assignment]:
+        """Return the isolated keys of a shard that its owner must not serve.
+
+        A key of its own is left out: a release at the fence of the shard would be final for a
+        lower fence of the key too.
+        """
+        parts = self.index.parts(whole.assignment.pool, whole.assignment.shard)
+        return [
+            each
+            for each in parts
+            if each.key is not None
+            and not self._is_of(self.grants[each], whole.server, whole.incarnation)
+        ]
+
     def _is_of(self, grant: Grant, server: str, incarnation: int) -> bool:
         return grant.server == server and grant.incarnation == incarnation
 
