Record the measurements and keep the figures of each section

Cause: a section that failed lost the figures of all others, and a paced load could wait for longer than its time.

--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -67,11 +67,12 @@
             new |= results.flatten(each, rows)
             print(results.table(each.title, rows, each.name, old), flush=True)
             print(f"{each.name}: {seconds:.1f} s", file=sys.stderr)
+            # Written after each section, so that a section that fails loses no others.
+            results.write(path, old | new)
             if chosen.plots:
                 plots.draw(chosen.folder, each, rows)
     common, changed = results.compare(old, new)
     print(f"{len(changed)} of {common} figures changed against {path}; old ones are in brackets")
-    results.write(path, old | new)
     return 0
 
 
--- a/tools/measure/load_client.py
+++ b/tools/measure/load_client.py
@@ -98,6 +98,8 @@
         count = 0
         try:
             while True:
+                if pause and due >= self.until:
+                    return
                 if pause:
                     await asyncio.sleep(max(0.0, due - time.perf_counter()))
                 begin = due if pause else time.perf_counter()
--- a/tools/measure/path.py
+++ b/tools/measure/path.py
@@ -40,6 +40,8 @@
 PROBED = 64
 PROBE_PAUSE = 0.005
 LOAD_TRIALS = 4
+# An entry that answers fewer requests per second than this has stopped serving.
+LEAST_RATE = 20.0
 # Deadlines of the probing requests in ms: short ones find the moment from which new requests are
 # served, long ones show how long a request waits that was sent right after the loss.
 PROBES = (50, 3000)
@@ -254,7 +256,7 @@
     ) -> dict[str, float]:
         for _ in range(LOAD_TRIALS):
             figures = self._load_once(port, seconds, rate, kind, connections, requests)
-            if figures["per_s"] > 0:
+            if figures["per_s"] >= LEAST_RATE:
                 return figures
             self._restart_entry()
         raise RuntimeError(f"load on port {port} got no good answer: {figures}")
