Wake a paced request when its pace allows

Cause: a request at a server with a limit below 1 waits without any other request whose end could wake it, and looked again only after 50 ms, whatever the pace of the limiter. Ruled out: a timer per server; the wait has one already. Change: the wait ends when the first limiter that spaces its requests admits the next one. Throughput was not measured.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -17,6 +17,7 @@
 from medlarpass.dispatch import LimiterSettings
 from medlarpass.dispatch import NoServerError
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.loop_lag import RESOLUTION
 from medlarpass_daemon.entry.callers.loop_lag import LoopLag
 from medlarpass_daemon.entry.callers.place import Place
 
@@ -75,7 +76,8 @@
             remaining = deadline - self.clock.now()
             if remaining <= 0:
                 raise DeadlineExceededError("the deadline passed while all servers were busy")
-            await self._wait([target.identity for target in targets], min(remaining, LOOK_AGAIN))
+            longest = min(remaining, self._look_again(targets))
+            await self._wait([target.identity for target in targets], longest)
             has_waited = True
 
     def leave(self, identity: str) -> None:
@@ -165,6 +167,11 @@
             limiter.limit = min(limiter.limit, float(target.slots))
         return limiter
 
+    def _look_again(self, targets: Sequence[Target]) -> float:
+        """Return the seconds until a limiter that spaces its requests admits the next one."""
+        delays = [self._limiter(target).ready_in() for target in targets]
+        return min([LOOK_AGAIN, *(max(delay, RESOLUTION) for delay in delays if delay)])
+
     async def _wait(self, identities: Sequence[str], timeout: float) -> None:
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         for identity in identities:
--- a/packages/medlarpass-daemon/tests/entry/callers/test_places.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_places.py
@@ -69,3 +69,17 @@
     made.limiters[target.identity].limit = 0.5
     (await asyncio.wait_for(take(world, made, target), 20)).finished(200)
     assert made.limiters[target.identity].limit > 0.5
+
+
+async def test_paced_request_starts_when_its_pace_allows(
+    world: Any, made: places.ServerPlaces
+) -> None:
+    """Guards against a server with a limit below 1 that is used less often than its limit allows,
+    because no end of a request wakes the next one."""
+    target = world.target(1, slots=1)
+    (await take(world, made, target)).dropped()
+    limiter = made.limiters[target.identity]
+    limiter.limit = 0.5
+    limiter.paced_until = world.clock.now() + 0.02
+    (await asyncio.wait_for(take(world, made, target), 20)).dropped()
+    assert world.clock.now() >= limiter.paced_until
