Give the random fault test room for the waits of a failing run

Cause: start, faults and the three waits after them may take longer than the 120 s that a test has, so a failing run could end without its diagnosis. Ruled out: shorter waits, which would depend on the speed of the machine. Change: a limit of 240 s for this test.

--- a/tests/agreement/test_random_faults.py
+++ b/tests/agreement/test_random_faults.py
@@ -170,6 +170,8 @@
         ports.close()
 
 
+# The waits of a failing run add up to more than the usual limit.
+@pytest.mark.timeout(240)
 @pytest.mark.parametrize("seed", seeds())
 def test_guarantees_under_random_faults(seed: int, cluster: Cluster) -> None:
     eventually("the tables are accepted", lambda: tables_accepted(cluster), SETTLE_TIMEOUT)
