Keep each server's part of the grants; isolate keys by the domain's own load

Change: a server's part is kept until the table's revision changes; the hash of an assignment is kept; the session limit is taken from the earliest expiry. Keys are isolated from 5% of a server's mean load of the domain's own shards and from 2 requests a second; the hysteresis of pools that favour balance is 0.08, as measured. One test set an expiry behind the table's back; it now sets the earliest one too, and its bound is unchanged. Conclusion: heartbeats no longer grow with shards while nothing changes.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/grant_planner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/grant_planner.py
@@ -29,7 +29,7 @@
 #: Seconds between two plans of a pool in which nothing waits for an owner.
 BALANCE_INTERVAL = 1.0
 #: Pools that favour balance accept more moves for a smaller difference between servers.
-HYSTERESIS = {"balance": 0.05, "availability": 0.1}
+HYSTERESIS = {"balance": 0.08, "availability": 0.1}
 
 
 class GrantPlanner:
@@ -109,7 +109,7 @@
             pool=pool.name,
             ready_servers=len(ready),
             ready_slots=sum(each.slots for each in ready),
-            requests_per_second=sum(self.loads.of_pool(pool.name).values()),
+            requests_per_second=sum(self._own_loads(pool.name).values()),
         )
 
     def _plan_pool(self, pool: Pool, grantable: list[Assignment]) -> bool:
@@ -136,7 +136,7 @@
 
     def _plan_hot_keys(self, pool: Pool, servers: int) -> bool:
         isolated = self._isolated(pool.name)
-        mean_load = sum(self.loads.of_pool(pool.name).values()) / max(1, servers)
+        mean_load = sum(self._own_loads(pool.name).values()) / max(1, servers)
         plan = self._hot_key_policy(pool).plan(
             self.loads.hot_keys(pool.name), isolated.keys(), mean_load
         )
@@ -178,7 +178,7 @@
 
     def _assignment_loads(self, pool: Pool) -> dict[Assignment, float]:
         """Return the load of each assignment, with isolated keys apart from their shards."""
-        loads = self.loads.of_pool(pool.name)
+        loads = self._own_loads(pool.name)
         rates = self.loads.hot_keys(pool.name)
         for key, assignment in self._isolated(pool.name).items():
             rate = rates.get(key, 0.0)
@@ -187,6 +187,15 @@
                 loads[assignment.whole] = max(0.0, loads[assignment.whole] - rate)
         return loads
 
+    def _own_loads(self, pool: str) -> dict[Assignment, float]:
+        """Return the load of the domain's own shards; its entries also pass on other requests."""
+        delegations = self.coordinator.grants.delegations
+        return {
+            each: load
+            for each, load in self.loads.of_pool(pool).items()
+            if (pool, each.shard) in delegations
+        }
+
     def _hot_key_policy(self, pool: Pool) -> HotKeyPolicy:
         policy = self.hot_keys.get(pool.name)
         if policy is None:
--- a/packages/medlarpass/src/medlarpass/ownership/coordinator.py
+++ b/packages/medlarpass/src/medlarpass/ownership/coordinator.py
@@ -7,6 +7,8 @@
 from medlarpass.ownership.exceptions import SessionError
 from medlarpass.ownership.fence import Fence
 from medlarpass.ownership.grant_table import GrantTable
+from medlarpass.ownership.server_part import ServerPart
+from medlarpass.ownership.server_part import release_key
 from medlarpass.ownership.session_table import Session
 from medlarpass.ownership.session_table import SessionTable
 from medlarpass.ownership.session_table import new_session_id
@@ -18,11 +20,10 @@
     from collections.abc import Callable
 
     from medlarpass.clock import Clock
+    from medlarpass.ownership.server_part import ReleaseKey
 
 MILLISECONDS = 1000
 
-ReleaseKey = tuple[str, int, str, int]
-
 
 class Coordinator:
     """Joins sessions and grants: a session ends before its grants do, and is never renewed without
@@ -34,7 +35,7 @@
     :param new_id: source of session ids
     """
 
-    __slots__ = ("clock", "grants", "is_holder", "session_term", "sessions", "told")
+    __slots__ = ("clock", "grants", "is_holder", "parts", "session_term", "sessions", "told")
 
     def __init__(
         self,
@@ -51,6 +52,7 @@
         # Releases that each session was told of, so that one that takes long does not end every
         # long poll.
         self.told: dict[str, set[ReleaseKey]] = {}
+        self.parts: dict[tuple[str, int], ServerPart] = {}
 
     def elected(
         self,
@@ -69,12 +71,14 @@
         self.grants.adopt(record, ballot, needs_new_epochs, entry)
         self.sessions.adopt(self.grants.holders())
         self.told.clear()
+        self.parts.clear()
 
     def tick(self) -> None:
         """End sessions and delegations whose time is over, with their grants."""
         for each in self.sessions.remove_ended():
             self.grants.revoke(each.identity, each.incarnation)
             self.told.pop(each.session, None)
+            self.parts.pop((each.identity, each.incarnation), None)
         self.grants.end_expired()
 
     def announce(self, server: control_pb2.ServerStatus) -> tuple[Session, int] | None:
@@ -128,20 +132,19 @@
             return pb.HeartbeatResponse(coordinator=True, failure=failure)
         term_ms = self._term_ms(request.identity, request.incarnation)
         self.sessions.renew(session, term_ms / MILLISECONDS)
+        part = self._part(request.identity, request.incarnation)
         response = pb.HeartbeatResponse(
             coordinator=True,
             term_ms=term_ms,
             version=self.grants.committed.version,
-            release=self.grants.release_of(request.identity, request.incarnation),
+            release=part.release,
         )
-        self.told[request.session] = {_release_key(each) for each in response.release}
-        grants = self.grants.grants_of(request.identity, request.incarnation)
+        self.told[request.session] = part.release_keys
         # A committed grant that is no longer live must leave the server before the next version is
         # committed.
-        committed = self.grants.committed_count(request.identity, request.incarnation)
-        if request.seen != response.version or len(grants) != committed:
+        if request.seen != response.version or len(part.grants) != part.committed:
             response.grants_included = True
-            response.grants.extend(grants)
+            response.grants.extend(part.grants)
         return response
 
     def has_news(self, request: pb.HeartbeatRequest) -> bool:
@@ -151,10 +154,12 @@
         """
         if request.seen != self.grants.committed.version:
             return True
-        known = {_release_key(each) for each in request.released}
-        known |= self.told.get(request.session, set())
-        wanted = self.grants.release_of(request.identity, request.incarnation)
-        return any(_release_key(each) not in known for each in wanted)
+        wanted = self._part(request.identity, request.incarnation).release_keys
+        told = self.told.get(request.session, set())
+        if wanted is told:
+            return False
+        known = told | {release_key(each) for each in request.released}
+        return not wanted <= known
 
     def watch(self, request: pb.WatchDomainRequest, ballot: pb.Ballot) -> pb.WatchDomainResponse:
         """Answer an entry.
@@ -182,6 +187,13 @@
         )
         return response
 
+    def _part(self, identity: str, incarnation: int) -> ServerPart:
+        part = self.parts.get((identity, incarnation))
+        if part is None or part.revision != self.grants.revision:
+            part = ServerPart(self.grants, identity, incarnation)
+            self.parts[identity, incarnation] = part
+        return part
+
     def _may_answer(self) -> bool:
         return self.grants.is_ready and self.is_holder()
 
@@ -196,7 +208,3 @@
 
 def _address(server: control_pb2.ServerStatus) -> str:
     return f"{server.ip}:{server.port}"
-
-
-def _release_key(item: pb.ReleasedGrant) -> ReleaseKey:
-    return (item.pool, item.shard, item.key, item.fence)
--- a/packages/medlarpass/src/medlarpass/ownership/grant_table.py
+++ b/packages/medlarpass/src/medlarpass/ownership/grant_table.py
@@ -59,6 +59,7 @@
         "index",
         "last_asked_at",
         "pending",
+        "revision",
         "session_term",
         "terms",
         "version",
@@ -67,6 +68,8 @@
     def __init__(self, clock: Clock, session_term: float) -> None:
         self.clock = clock
         self.session_term = session_term
+        #: Grows with everything that a server is told, also with what changes no version.
+        self.revision = 0
         self.adopt(None, pb.Ballot(), needs_new_epochs=True)
 
     def adopt(
@@ -87,6 +90,7 @@
             the next confirmed report.
         """
         self.acquired_at = self.clock.now()
+        self.revision += 1
         self.epochs_pending = needs_new_epochs
         self.last_asked_at = float("-inf")
         self.asked: dict[str, float] = {}
@@ -229,6 +233,7 @@
         if grant is None or not grant.is_live:
             raise NotGrantedError(f"{assignment} has no live grant")
         grant.releasing = True
+        self.revision += 1
 
     def confirm_release(
         self, assignment: Assignment, fence: Fence, server: str, incarnation: int
@@ -296,6 +301,7 @@
         present = self.grants.get(assignment.whole)
         if present is not None and present.is_live:
             self.carving[assignment] = present.fence
+            self.revision += 1
             return assignment
         self._free_key(assignment)
         return assignment
@@ -337,6 +343,8 @@
         """
         now = self.clock.now()
         limit = self.session_term
+        if self.last_asked_at > float("-inf") and self.earliest_expiry - now >= limit:
+            return limit
         for grant in self.index.owned(server, incarnation):
             held = self.delegations[grant.assignment.pool, grant.assignment.shard]
             limit = min(limit, held.expiry - now)
@@ -450,6 +458,7 @@
         if stored is None or version < self.committed.version:
             return
         self.committed = stored
+        self.revision += 1
         self.pending = {each: state for each, state in self.pending.items() if each > version}
 
     def _foreign_keys(self, whole: Grant) -> list[Assignment]:
@@ -475,6 +484,7 @@
 
     def _changed(self) -> None:
         self.version += 1
+        self.revision += 1
 
     def _refusal(self, assignment: Assignment) -> Exception | None:
         if self.epochs_pending:
@@ -556,6 +566,7 @@
         for each in self.index.parts(pool, shard):
             grant = self.grants[each]
             grant.releasing = grant.is_live
+        self.revision += 1
 
     def _drop(self, pool: str, shard: int) -> None:
         del self.delegations[pool, shard]
--- a/packages/medlarpass/src/medlarpass/ownership/hot_key_policy.py
+++ b/packages/medlarpass/src/medlarpass/ownership/hot_key_policy.py
@@ -21,17 +21,21 @@
         the gap to ``isolate_share`` keeps a key near the limit from moving back and forth
     :param cool_after: seconds that a key has to stay below ``merge_share``
     :param limit: largest number of isolated keys of a pool in a domain
+    :param least_rate: requests per second below which no key is isolated. In a quiet pool a few
+        requests exceed any share of the load, and isolating them would only move keys.
     """
 
-    __slots__ = ("cool_after", "isolate_share", "limit", "merge_share")
+    __slots__ = ("cool_after", "isolate_share", "least_rate", "limit", "merge_share")
 
     def __init__(
         self,
-        isolate_share: float = 0.1,
-        merge_share: float = 0.04,
+        isolate_share: float = 0.05,
+        merge_share: float = 0.02,
         cool_after: float = 30.0,
         limit: int = 64,
+        least_rate: float = 2.0,
     ) -> None:
+        self.least_rate = least_rate
         self.isolate_share = isolate_share
         self.merge_share = merge_share
         self.cool_after = cool_after
@@ -81,7 +85,7 @@
         merge = tuple(key for key in sorted(isolated) if self._is_cold(key, rates, mean_load))
         self.cool_since = {key: at for key, at in self.cool_since.items() if key in isolated}
         room = self.settings.limit - len(isolated) + len(merge)
-        least = self.settings.isolate_share * mean_load
+        least = max(self.settings.isolate_share * mean_load, self.settings.least_rate)
         hot = [key for key, rate in rates.items() if key not in isolated and rate > least]
         hot.sort(key=lambda key: (-rates[key], key))
         return HotKeyPlan(tuple(hot[: max(0, room)]), merge)
--- a/packages/medlarpass/src/medlarpass/ownership/shard.py
+++ b/packages/medlarpass/src/medlarpass/ownership/shard.py
@@ -29,16 +29,29 @@
     :param key: isolated key; ``None`` for the shard itself
     """
 
-    __slots__ = ("key", "pool", "shard")
+    __slots__ = ("_hash", "key", "pool", "shard")
 
     def __init__(self, pool: str, shard: int, key: str | None = None) -> None:
         self.pool = pool
         self.shard = shard
         self.key = key or None
+        # Assignments are keys of many tables and never change.
+        self._hash = hash(self._fields())
 
     def _fields(self) -> tuple[str, int, str]:
         return (self.pool, self.shard, self.key or "")
 
+    def __hash__(self) -> int:
+        return self._hash
+
+    def __eq__(self, other: object) -> bool:
+        if self is other:
+            return True
+        return isinstance(other, Assignment) and self._fields() == other._fields()
+
+    def __repr__(self) -> str:
+        return f"Assignment(pool={self.pool!r}, shard={self.shard!r}, key={self.key!r})"
+
     def __lt__(self, other: Assignment) -> bool:
         return self._fields() < other._fields()
 
--- a/packages/medlarpass/tests/ownership/test_coordinator.py
+++ b/packages/medlarpass/tests/ownership/test_coordinator.py
@@ -246,6 +246,7 @@
     clock: ManualClock, coordinator: Coordinator, owner: Backend
 ) -> None:
     coordinator.grants.delegations["stock", 0].expiry = clock.now() + 0.2
+    coordinator.grants.earliest_expiry = clock.now() + 0.2
     clock.advance(0.1)
     # The earlier answer granted the usual term; a server is told the shorter one from now on.
     assert owner.heartbeat(coordinator).term_ms in (99, 100)
--- a/packages/medlarpass/tests/ownership/test_hot_key_policy.py
+++ b/packages/medlarpass/tests/ownership/test_hot_key_policy.py
@@ -30,6 +30,14 @@
     assert policy.plan(rates, isolated, mean_load=100.0).isolate == isolate
 
 
+def test_no_key_is_isolated_in_a_quiet_pool() -> None:
+    """Without load yet every rate is above any share of it."""
+    policy = HotKeyPolicy(HotKeySettings(least_rate=2.0), ManualClock())
+    assert policy.plan({"a": 1.9}, (), mean_load=0.0).isolate == ()
+    assert policy.plan({"a": 1.9}, (), mean_load=3.0).isolate == ()
+    assert policy.plan({"a": 2.1}, (), mean_load=3.0).isolate == ("a",)
+
+
 def test_key_is_merged_only_after_it_stayed_cold() -> None:
     clock = ManualClock()
     policy = HotKeyPolicy(SETTINGS, clock)
