Weigh failure domains by the load of their shards

Change: the delegator averages the reported load over half a minute and uses weighted_slots with a hysteresis of 0.08.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/delegator.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/delegator.py
@@ -9,6 +9,7 @@
 from medlarpass import MedlarpassError
 from medlarpass.ownership import DelegationClock
 from medlarpass.ownership import DelegationPlanner
+from medlarpass.ownership.placement_domains import weighted_slots
 from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
 from medlarpass_daemon.control.events import DELEGATION_FAILED
@@ -24,6 +25,10 @@
 
 #: Seconds between two looks at the delegations.
 PLAN_INTERVAL = 0.2
+#: Weight of a new report in the averaged load: about half a minute of reports each second.
+LOAD_WEIGHT = 1 / 30
+#: Part of its share by which a domain may be above it before shards move away.
+HYSTERESIS = 0.08
 #: Age of a domain's last report, in seconds, after which it gets no further shards.
 REPORT_STALE_AFTER = 3.0
 
@@ -46,15 +51,25 @@
     :param clock: clock of this process
     """
 
-    __slots__ = ("clock", "last_reports", "log", "planner", "renewals", "renewals_term")
+    __slots__ = (
+        "clock",
+        "last_reports",
+        "loads",
+        "log",
+        "planner",
+        "renewals",
+        "renewals_term",
+    )
 
     def __init__(self, log: ReplicaLog, clock: Clock) -> None:
         self.log = log
         self.clock = clock
-        self.planner = DelegationPlanner()
+        self.planner = DelegationPlanner(hysteresis=HYSTERESIS)
         self.renewals = DelegationClock(clock)
         self.renewals_term = -1
         self.last_reports: dict[str, _LastReport] = {}
+        #: Averaged requests per second by pool and domain.
+        self.loads: dict[tuple[str, str], float] = {}
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -91,6 +106,7 @@
         if not self._leads() or not self.renewals.may_confirm(report.domain):
             return unconfirmed
         self.last_reports[report.domain] = _LastReport(report, self.clock.now())
+        self._average_loads(report)
         self.renewals.renew(report.domain)
         return self._answer(report)
 
@@ -130,6 +146,7 @@
             self.renewals = DelegationClock(self.clock)
             self.renewals_term = replica.term
             self.last_reports.clear()
+            self.loads.clear()
         return True
 
     def _pools(self) -> list[Pool]:
@@ -150,7 +167,7 @@
             self.renewals.finish_freeing(command)
 
     async def _plan_pool(self, pool: Pool) -> None:
-        slots = self._slots(pool.name)
+        slots = self._weighted_slots(pool.name)
         assign, moves = self.planner.plan(self.log.state.delegations, pool.name, pool.shards, slots)
         if assign.assignments:
             SHARDS_ASSIGNED.log(pool=pool.name, shards=len(assign.assignments))
@@ -159,6 +176,20 @@
             SHARDS_MOVING.log(pool=pool.name, shards=len(moves.moves))
             await self._propose(control_pb2.Command(plan_shard_moves=moves))
 
+    def _weighted_slots(self, pool: str) -> dict[str, int]:
+        shards: dict[str, int] = {}
+        for (name, _), each in self.log.state.delegations.delegations.items():
+            if name == pool and each.domain is not None:
+                shards[each.domain] = shards.get(each.domain, 0) + 1
+        loads = {domain: load for (name, domain), load in self.loads.items() if name == pool}
+        return weighted_slots(self._slots(pool), loads, shards)
+
+    def _average_loads(self, report: control_pb2.DomainReport) -> None:
+        for each in report.loads:
+            key = (each.pool, report.domain)
+            known = self.loads.get(key, each.requests_per_second)
+            self.loads[key] = known + LOAD_WEIGHT * (each.requests_per_second - known)
+
     def _slots(self, pool: str) -> dict[str, int]:
         oldest = self.clock.now() - REPORT_STALE_AFTER
         return {
