Let an enquiry leave a lost owner when its key has moved

Change: enquiries in flight are looked at every 50 ms; one whose server no longer owns the key is ended and goes to the present owner. Orders are never given up. Conclusion: an enquiry is delayed by a loss as long as its key has no owner.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
@@ -24,6 +26,7 @@
 
 if TYPE_CHECKING:
     from medlarpass_daemon.entry.callers.interfaces import Target
+    from medlarpass_daemon.entry.callers.owner_watch import WatchedAttempt
     from medlarpass_daemon.entry.callers.place import Place
     from medlarpass_daemon.entry.callers.request_path import RequestPath
     from medlarpass_daemon.entry.callers.route_state import RouteState
@@ -63,6 +66,7 @@
 ) -> Delivery:
     place = await _place(path, request, tried)
     tried.add(place.target.identity)
+    watched = _watch(request, path, place.target)
     try:
         exchange = _exchange(path, request, place.target)
         answer = await path.client.send(exchange)
@@ -74,12 +78,28 @@
     except MedlarpassError as error:
         place.failed(error)
         raise
+    except asyncio.CancelledError:
+        place.dropped()
+        if watched is None or not watched.was_ended():
+            raise
+        raise OwnerChangedError("the key moved while its server owed the answer") from None
     except BaseException:
         place.dropped()
         raise
+    finally:
+        if watched is not None:
+            path.owner_watch.end(watched)
     return Delivery(answer, place, data)
 
 
+def _watch(request: CallerRequest, path: RequestPath, target: Target) -> WatchedAttempt | None:
+    """Watch the owner of an enquiry; an order is never given up, because it may run."""
+    key = request.owned_key
+    if key is None or not isinstance(request, EnquiryRequest):
+        return None
+    return path.owner_watch.begin(lambda: path.owners.is_current(request.pool, key, target))
+
+
 async def _place(path: RequestPath, request: CallerRequest, tried: set[str]) -> Place:
     if request.owned_key is None:
         pool = request.pool.name
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/owner_watch.py
@@ -0,0 +1,78 @@
+"""Ends enquiries whose server lost the key before it answered."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+#: Seconds between two looks at the enquiries in flight; far below the second in which the keys of
+#: a lost server are served again.
+PERIOD = 0.05
+
+
+class WatchedAttempt:
+    """An attempt that goes on only while its server owns the key.
+
+    :param is_current: tells whether the server owns the key
+    """
+
+    __slots__ = ("is_current", "is_lost", "task")
+
+    def __init__(self, is_current: Callable[[], bool]) -> None:
+        self.is_current = is_current
+        self.is_lost = False
+        self.task = asyncio.current_task()
+
+    def was_ended(self) -> bool:
+        """Return whether a cancellation came from the watch alone, and take it back then."""
+        if not self.is_lost or self.task is None:
+            return False
+        return self.task.uncancel() == 0
+
+
+class OwnerWatch:
+    """Looks at all enquiries in flight from time to time.
+
+    A frozen server would otherwise hold its callers until their deadline, long after another
+    server owns the key. No timer runs while nothing is in flight.
+    """
+
+    __slots__ = ("attempts", "is_scheduled")
+
+    def __init__(self) -> None:
+        self.attempts: set[WatchedAttempt] = set()
+        self.is_scheduled = False
+
+    def begin(self, is_current: Callable[[], bool]) -> WatchedAttempt:
+        """Watch the attempt of the current task.
+
+        :param is_current: tells whether the server owns the key
+        """
+        attempt = WatchedAttempt(is_current)
+        self.attempts.add(attempt)
+        if not self.is_scheduled:
+            self._schedule()
+        return attempt
+
+    def end(self, attempt: WatchedAttempt) -> None:
+        """Stop watching an attempt."""
+        self.attempts.discard(attempt)
+
+    def look(self) -> None:
+        """End the attempts whose servers lost their keys."""
+        self.is_scheduled = False
+        for attempt in [each for each in self.attempts if not each.is_current()]:
+            self.attempts.discard(attempt)
+            attempt.is_lost = True
+            if attempt.task is not None:
+                attempt.task.cancel()
+        if self.attempts:
+            self._schedule()
+
+    def _schedule(self) -> None:
+        self.is_scheduled = True
+        asyncio.get_running_loop().call_later(PERIOD, self.look)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
@@ -6,6 +6,7 @@
 
 from medlarpass_daemon.entry.callers.admission import Admission
 from medlarpass_daemon.entry.callers.claim_recorder import ClaimRecorder
+from medlarpass_daemon.entry.callers.owner_watch import OwnerWatch
 from medlarpass_daemon.entry.callers.places import ServerPlaces
 from medlarpass_daemon.entry.callers.server_client import ServerClient
 
@@ -45,6 +46,7 @@
         "is_draining",
         "metrics",
         "orders",
+        "owner_watch",
         "owners",
         "places",
         "recorder",
@@ -75,6 +77,7 @@
         self.places = ServerPlaces(peer_loads, clock)
         self.client = ServerClient(settings)
         self.recorder = ClaimRecorder(claims)
+        self.owner_watch = OwnerWatch()
         #: Orders in flight, which outlive the connection of their caller.
         self.orders: set[asyncio.Task[object]] = set()
         self.is_draining = False
--- a/packages/medlarpass-daemon/tests/entry/callers/test_enquiry_flow.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_enquiry_flow.py
@@ -41,6 +41,27 @@
     assert (len(old.seen), len(new.seen)) == (1, 1)
 
 
+async def test_enquiry_leaves_a_frozen_owner_when_the_key_moves(world: Any, kit: Any) -> None:
+    """Guards against callers that wait for a lost server until their deadline."""
+    asked = asyncio.Event()
+
+    async def freeze(request: Any, reader: Any, writer: Any) -> None:
+        asked.set()
+        await reader.read()
+
+    frozen = await world.server(freeze)
+    world.owners.move("r1", world.target(frozen.port, fence=1))
+    entry = await world.entry()
+    waiting = asyncio.ensure_future(world.ask("/stock/r1"))
+    await asked.wait()
+    new = await world.server(kit.replying(kit.answer(b"new")))
+    world.owners.move("r1", world.target(new.port, fence=2))
+    reply = await asyncio.wait_for(waiting, 20)
+    assert (reply.status, reply.body) == (200, b"new")
+    assert entry.path.places.limiters[f"s{frozen.port}"].in_flight == 0
+    assert not entry.path.owner_watch.attempts
+
+
 async def test_request_is_not_sent_to_former_owner(world: Any) -> None:
     """Guards against a key that moves while the request waits for a connection."""
     former = await world.server(slots=1)
