Keep seed 6 of the random fault test

Cause: of the seeds 3, 5, 6 and 12, seed 6 failed: all entries got stale-fence, deadline_exceeded or deadline_outcome_unknown for roll-0 for 30 s. No check of safety failed.

--- a/tests/agreement/test_random_faults.py
+++ b/tests/agreement/test_random_faults.py
@@ -50,6 +50,7 @@
 #: Seeds of the normal run with what they have shown; a seed that showed a fault stays here.
 SEEDS = {
     1: "an isolated key was refused as stale-fence for good, see test_isolated_key.py",
+    6: "as seed 1",
     7: "an entry did not serve a key within 30 s after the faults; seen once, cause not proven",
 }
 EXTRA_SEEDS = "MEDLARPASS_AGREEMENT_SEEDS"
