--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/order_flow.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/order_flow.py
@@ -58,10 +58,12 @@
 
 
 async def _run(request: OrderRequest, path: RequestPath) -> web.StreamResponse:
+    key = headers.idempotency_key_of(request.web.headers)
+    # Until the ledger has answered, an earlier request with the same key may have run the order.
+    request.may_have_run = key is not None
     state = await path.admission.enter(request.route, request.deadline)
     try:
         await request.body.hold(request.remaining)
-        key = headers.idempotency_key_of(request.web.headers)
         if key is None:
             delivery = await first_answer(path, request, state, prefetch=MAX_STORED_BODY + 1)
             return await relay(path, request, delivery)
@@ -75,6 +77,7 @@
 ) -> web.StreamResponse:
     attempt = uuid.uuid4().hex
     result = await _claim(request, path, key, attempt)
+    request.may_have_run = False
     if result.status != control_pb2.CLAIM_STATUS_CLAIMED:
         return _repeated(request, result)
     route = request.route.name
