Say unknown, not not-run, for a keyed order before its claim is answered

Cause: a caller that resends an order under the same key could be told not-run (ledger unavailable, queue full) although its first request had run the order; an order under a new key would then be a second one. Found by tests/agreement, which counted such answers. Change: until the ledger has answered, refusals of a keyed order have the outcome unknown. Conclusion: after its claim an order keeps not-run where nothing left.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/order_flow.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/order_flow.py
@@ -63,6 +63,8 @@
     request.may_have_run = key is not None
     state = await path.admission.enter(request.route, request.deadline)
     try:
+        # A body that can't be held was no order before either.
+        request.may_have_run = False
         await request.body.hold(request.remaining)
         if key is None:
             delivery = await first_answer(path, request, state, prefetch=MAX_STORED_BODY + 1)
@@ -76,6 +78,7 @@
     request: OrderRequest, path: RequestPath, state: RouteState, key: str
 ) -> web.StreamResponse:
     attempt = uuid.uuid4().hex
+    request.may_have_run = True
     result = await _claim(request, path, key, attempt)
     request.may_have_run = False
     if result.status != control_pb2.CLAIM_STATUS_CLAIMED:
--- a/packages/medlarpass/src/medlarpass/ledger/exceptions.py
+++ b/packages/medlarpass/src/medlarpass/ledger/exceptions.py
@@ -7,11 +7,14 @@
 
 
 class LedgerUnavailableError(MedlarpassError):
-    """The claim of an order could not be confirmed; the order was not sent."""
+    """The claim of an order could not be confirmed; this request did not send the order.
+
+    An earlier request with the same key may have run it, and only the ledger would know.
+    """
 
     code = "ledger_unavailable"
     http_status = 503
-    outcome = Outcome.NOT_RUN
+    outcome = Outcome.UNKNOWN
 
 
 class OrderInProgressError(MedlarpassError):
