Move the bench, the agreement tool and the document rows to tools

Cause: quickstart and measurement used the bench out of the tests' folder, and the type checker did not cover it. Conclusion: no behaviour changed.

--- a/examples/quickstart.py
+++ b/examples/quickstart.py
@@ -7,10 +7,10 @@
 
 from pathlib import Path
 
-from tests.support.cluster import Cluster
-from tests.support.http_call import HttpAnswer
-from tests.support.http_call import call
-from tests.support.process import eventually
+from tools.bench.cluster import Cluster
+from tools.bench.http_call import HttpAnswer
+from tools.bench.http_call import call
+from tools.bench.process import eventually
 
 ROOT = Path(__file__).resolve().parent.parent
 HTTP_OK = 200
--- a/tests/agreement/test_checkers.py
+++ b/tests/agreement/test_checkers.py
@@ -6,19 +6,19 @@
 
 import pytest
 
-from tests.agreement.checkers import check_grants
-from tests.agreement.checkers import check_orders
-from tests.agreement.checkers import check_register
-from tests.agreement.checkers import check_revisions
-from tests.agreement.history import Acceptance
-from tests.agreement.history import ChainLink
-from tests.agreement.history import ConfigurationChange
-from tests.agreement.history import ConfigurationRead
-from tests.agreement.history import Order
-from tests.agreement.history import RevisionReport
-from tests.agreement.history import Verdict
-from tests.agreement.history import register_chain
-from tests.agreement.history import revision_reports
+from tools.agreement.checkers import check_grants
+from tools.agreement.checkers import check_orders
+from tools.agreement.checkers import check_register
+from tools.agreement.checkers import check_revisions
+from tools.agreement.history import Acceptance
+from tools.agreement.history import ChainLink
+from tools.agreement.history import ConfigurationChange
+from tools.agreement.history import ConfigurationRead
+from tools.agreement.history import Order
+from tools.agreement.history import RevisionReport
+from tools.agreement.history import Verdict
+from tools.agreement.history import register_chain
+from tools.agreement.history import revision_reports
 
 INITIAL = ChainLink(1, "tables", 10)
 
--- a/tests/agreement/test_fault_plan.py
+++ b/tests/agreement/test_fault_plan.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from tests.agreement.fault_plan import MOST_CONTROL_AWAY
-from tests.agreement.fault_plan import FaultKind
-from tests.agreement.fault_plan import Layout
-from tests.agreement.fault_plan import fault_plan
+from tools.agreement.fault_plan import MOST_CONTROL_AWAY
+from tools.agreement.fault_plan import FaultKind
+from tools.agreement.fault_plan import Layout
+from tools.agreement.fault_plan import fault_plan
 
 LAYOUT = Layout(
     {"control-1": "a", "control-2": "a", "control-3": "b", "control-4": "b", "control-5": "c"},
--- a/tests/agreement/test_random_faults.py
+++ b/tests/agreement/test_random_faults.py
@@ -15,36 +15,36 @@
 
 import pytest
 
-from tests.agreement.checkers import check_grants
-from tests.agreement.checkers import check_orders
-from tests.agreement.checkers import check_register
-from tests.agreement.checkers import check_revisions
-from tests.agreement.fault_plan import Fault
-from tests.agreement.fault_plan import FaultKind
-from tests.agreement.fault_plan import Layout
-from tests.agreement.fault_plan import fault_plan
-from tests.agreement.fixed_ports import FixedPortPool
-from tests.agreement.history import FIELD
-from tests.agreement.history import REGISTER
-from tests.agreement.history import Acceptance
-from tests.agreement.history import ChainLink
-from tests.agreement.history import Clients
-from tests.agreement.history import ConfigurationRead
-from tests.agreement.history import History
-from tests.agreement.history import journal_acceptances
-from tests.agreement.history import read_register
-from tests.agreement.history import register_chain
-from tests.agreement.history import revision_reports
-from tests.support.cluster import Cluster
-from tests.support.http_call import call
-from tests.support.process import ChildProcess
-from tests.support.process import eventually
+from tools.agreement.checkers import check_grants
+from tools.agreement.checkers import check_orders
+from tools.agreement.checkers import check_register
+from tools.agreement.checkers import check_revisions
+from tools.agreement.fault_plan import Fault
+from tools.agreement.fault_plan import FaultKind
+from tools.agreement.fault_plan import Layout
+from tools.agreement.fault_plan import fault_plan
+from tools.agreement.fixed_ports import FixedPortPool
+from tools.agreement.history import FIELD
+from tools.agreement.history import REGISTER
+from tools.agreement.history import Acceptance
+from tools.agreement.history import ChainLink
+from tools.agreement.history import Clients
+from tools.agreement.history import ConfigurationRead
+from tools.agreement.history import History
+from tools.agreement.history import journal_acceptances
+from tools.agreement.history import read_register
+from tools.agreement.history import register_chain
+from tools.agreement.history import revision_reports
+from tools.bench.cluster import Cluster
+from tools.bench.http_call import call
+from tools.bench.process import ChildProcess
+from tools.bench.process import eventually
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
 
-    from tests.support.cluster import Node
+    from tools.bench.cluster import Node
 
 ROOT = Path(__file__).resolve().parents[2]
 #: Seeds of the normal run with what they have shown; a seed that showed a fault stays here.
@@ -157,7 +157,7 @@
 @pytest.fixture
 def cluster(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Cluster]:
     ports = FixedPortPool()
-    monkeypatch.setattr("tests.support.cluster.PortPool", lambda: ports)
+    monkeypatch.setattr("tools.bench.cluster.PortPool", lambda: ports)
     system = Cluster(tmp_path, ROOT)
     for domain in system.domains:
         for number in (1, 2):
--- a/tests/documents/test_reference_documents.py
+++ b/tests/documents/test_reference_documents.py
@@ -3,30 +3,14 @@
 from __future__ import annotations
 
 import argparse
-import importlib.util
 import re
 
 from collections import defaultdict
-from pathlib import Path
-from typing import TYPE_CHECKING
 
 import pytest
 
-if TYPE_CHECKING:
-    from types import ModuleType
+from tools.documents import rows
 
-
-def _load_rows() -> ModuleType:
-    # The import mode importlib adds no test folder to the module path.
-    path = Path(__file__).parent / "document_rows.py"
-    spec = importlib.util.spec_from_file_location("document_rows", path)
-    assert spec is not None and spec.loader is not None
-    module = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(module)
-    return module
-
-
-rows = _load_rows()
 #: Commands that a page may name without their arguments.
 MENTIONED_ALONE = {"check"}
 
--- a/tests/processes/test_mutual_tls.py
+++ b/tests/processes/test_mutual_tls.py
@@ -12,15 +12,15 @@
 
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import control_pb2_grpc
-from tests.support.cluster import Cluster
-from tests.support.http_call import call
-from tests.support.ports import LOOPBACK
-from tests.support.process import eventually
+from tools.bench.cluster import Cluster
+from tools.bench.http_call import call
+from tools.bench.ports import LOOPBACK
+from tools.bench.process import eventually
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from tests.support.cluster import Node
+    from tools.bench.cluster import Node
 
 ROOT = Path(__file__).resolve().parents[2]
 POOL = {"kind": "pool", "name": "orders", "expected_version": 0, "document": {}}
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -6,11 +6,11 @@
 
 from pytest_bdd import then
 
-from tests.support.ownership_check import violations
+from tools.bench.ownership_check import violations
 
 if TYPE_CHECKING:
-    from tests.support.cluster import Cluster
-    from tests.support.load import MixedLoad
+    from tools.bench.cluster import Cluster
+    from tools.bench.load import MixedLoad
 
 
 @then("each answer is whole and the caller's own")
--- a/tests/scenarios/systems.py
+++ b/tests/scenarios/systems.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from tests.support.cluster import Cluster
-from tests.support.http_call import HttpAnswer
-from tests.support.http_call import call
-from tests.support.process import eventually
+from tools.bench.cluster import Cluster
+from tools.bench.http_call import HttpAnswer
+from tools.bench.http_call import call
+from tools.bench.process import eventually
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -22,15 +22,15 @@
 from tests.scenarios.systems import is_good
 from tests.scenarios.systems import order
 from tests.scenarios.systems import running_system
-from tests.support.http_call import call
-from tests.support.process import eventually
+from tools.bench.http_call import call
+from tools.bench.process import eventually
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from tests.support.cluster import Cluster
-    from tests.support.cluster import Node
-    from tests.support.http_call import HttpAnswer
+    from tools.bench.cluster import Cluster
+    from tools.bench.cluster import Node
+    from tools.bench.http_call import HttpAnswer
 
 scenarios("configuration.feature")
 
--- a/tests/scenarios/test_cut_off_domain.py
+++ b/tests/scenarios/test_cut_off_domain.py
@@ -19,13 +19,13 @@
 from tests.scenarios.systems import owner_of
 from tests.scenarios.systems import running_system
 from tests.scenarios.systems import wait_keys_served
-from tests.support.http_call import call
-from tests.support.process import eventually
+from tools.bench.http_call import call
+from tools.bench.process import eventually
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from tests.support.cluster import Cluster
+    from tools.bench.cluster import Cluster
 
 scenarios("cut_off_domain.feature")
 
--- a/tests/scenarios/test_full_size.py
+++ b/tests/scenarios/test_full_size.py
@@ -13,12 +13,12 @@
 from pytest_bdd import when
 
 from tests.scenarios.systems import running_system
-from tests.support.load import MixedLoad
+from tools.bench.load import MixedLoad
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from tests.support.cluster import Cluster
+    from tools.bench.cluster import Cluster
 
 scenarios("full_size.feature")
 
--- a/tests/scenarios/test_leaving.py
+++ b/tests/scenarios/test_leaving.py
@@ -21,14 +21,14 @@
 from tests.scenarios.systems import SAMPLE_KEYS
 from tests.scenarios.systems import owner_of
 from tests.scenarios.systems import running_system
-from tests.support.cluster import read_journal
-from tests.support.load import MixedLoad
-from tests.support.process import eventually
+from tools.bench.cluster import read_journal
+from tools.bench.load import MixedLoad
+from tools.bench.process import eventually
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from tests.support.cluster import Cluster
+    from tools.bench.cluster import Cluster
 
 scenarios("leaving.feature")
 
--- a/tests/scenarios/test_one_owner.py
+++ b/tests/scenarios/test_one_owner.py
@@ -19,17 +19,17 @@
 from tests.scenarios.systems import owner_of
 from tests.scenarios.systems import running_system
 from tests.scenarios.systems import wait_keys_served
-from tests.support.http_call import call
-from tests.support.load import MixedLoad
-from tests.support.ports import LOOPBACK
-from tests.support.process import ChildProcess
-from tests.support.process import eventually
+from tools.bench.http_call import call
+from tools.bench.load import MixedLoad
+from tools.bench.ports import LOOPBACK
+from tools.bench.process import ChildProcess
+from tools.bench.process import eventually
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from tests.support.cluster import Cluster
-    from tests.support.cluster import Node
+    from tools.bench.cluster import Cluster
+    from tools.bench.cluster import Node
 
 scenarios("one_owner.feature")
 
--- a/tests/scenarios/test_orders.py
+++ b/tests/scenarios/test_orders.py
@@ -21,14 +21,14 @@
 from tests.scenarios.systems import order
 from tests.scenarios.systems import running_system
 from tests.scenarios.systems import wait_served
-from tests.support.process import ChildProcess
-from tests.support.process import eventually
+from tools.bench.process import ChildProcess
+from tools.bench.process import eventually
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from tests.support.cluster import Cluster
-    from tests.support.http_call import HttpAnswer
+    from tools.bench.cluster import Cluster
+    from tools.bench.http_call import HttpAnswer
 
 scenarios("orders.feature")
 
--- a/tests/scenarios/test_planned_stop.py
+++ b/tests/scenarios/test_planned_stop.py
@@ -23,15 +23,15 @@
 from tests.scenarios.systems import running_system
 from tests.scenarios.systems import wait_keys_served
 from tests.scenarios.systems import wait_served
-from tests.support.http_call import call
-from tests.support.process import eventually
+from tools.bench.http_call import call
+from tools.bench.process import eventually
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from tests.support.cluster import Cluster
-    from tests.support.cluster import Node
-    from tests.support.http_call import HttpAnswer
+    from tools.bench.cluster import Cluster
+    from tools.bench.cluster import Node
+    from tools.bench.http_call import HttpAnswer
 
 scenarios("planned_stop.feature")
 
--- /dev/null
+++ b/tools/agreement/__init__.py
@@ -0,0 +1,3 @@
+"""Fault plans, recorded histories and their checkers, for tests of real processes."""
+
+from __future__ import annotations
--- a/tests/agreement/checkers.py
+++ b/tools/agreement/checkers.py
@@ -8,14 +8,14 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from tests.agreement.history import Acceptance
-from tests.agreement.history import ChainLink
-from tests.agreement.history import ConfigurationChange
-from tests.agreement.history import ConfigurationRead
-from tests.agreement.history import Interval
-from tests.agreement.history import Order
-from tests.agreement.history import RevisionReport
-from tests.agreement.history import Verdict
+from tools.agreement.history import Acceptance
+from tools.agreement.history import ChainLink
+from tools.agreement.history import ConfigurationChange
+from tools.agreement.history import ConfigurationRead
+from tools.agreement.history import Interval
+from tools.agreement.history import Order
+from tools.agreement.history import RevisionReport
+from tools.agreement.history import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/tests/agreement/fixed_ports.py
+++ b/tools/agreement/fixed_ports.py
@@ -5,8 +5,8 @@
 import random
 import socket
 
-from tests.support.ports import LOOPBACK
-from tests.support.ports import PortPool
+from tools.bench.ports import LOOPBACK
+from tools.bench.ports import PortPool
 
 #: Below the ephemeral ports of Linux. While a process is down, the kernel may give an ephemeral
 #: port to an outgoing connection of another one, and the process then can't listen on it again.
--- a/tests/agreement/history.py
+++ b/tools/agreement/history.py
@@ -12,14 +12,14 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from tests.support.http_call import HttpAnswer
-from tests.support.http_call import call
+from tools.bench.http_call import HttpAnswer
+from tools.bench.http_call import call
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from tests.support.cluster import Cluster
-    from tests.support.cluster import Node
+    from tools.bench.cluster import Cluster
+    from tools.bench.cluster import Node
 
 #: Pool whose field ``moves_per_minute`` is the register; no route uses it.
 REGISTER = "register"
--- a/tests/support/cluster.py
+++ b/tools/bench/cluster.py
@@ -10,13 +10,13 @@
 
 import yaml
 
-from tests.support.http_call import HttpAnswer
-from tests.support.http_call import call
-from tests.support.ports import LOOPBACK
-from tests.support.ports import PortPool
-from tests.support.process import ChildProcess
-from tests.support.process import eventually
-from tests.support.relay import RelayNetwork
+from tools.bench.http_call import HttpAnswer
+from tools.bench.http_call import call
+from tools.bench.ports import LOOPBACK
+from tools.bench.ports import PortPool
+from tools.bench.process import ChildProcess
+from tools.bench.process import eventually
+from tools.bench.relay import RelayNetwork
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/support/http_call.py
+++ b/tools/bench/http_call.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-from tests.support.ports import LOOPBACK
+from tools.bench.ports import LOOPBACK
 
 
 class HttpAnswer:
--- a/tests/support/load.py
+++ b/tools/bench/load.py
@@ -12,8 +12,8 @@
 from typing import TYPE_CHECKING
 
 from examples.standin.server import download_fill
-from tests.support.http_call import HttpAnswer
-from tests.support.ports import LOOPBACK
+from tools.bench.http_call import HttpAnswer
+from tools.bench.ports import LOOPBACK
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/support/relay.py
+++ b/tools/bench/relay.py
@@ -7,7 +7,7 @@
 
 from contextlib import suppress
 
-from tests.support.ports import LOOPBACK
+from tools.bench.ports import LOOPBACK
 
 CHUNK = 64 * 1024
 CHECK_PAUSE = 0.01
--- /dev/null
+++ b/tools/documents/__init__.py
@@ -0,0 +1,3 @@
+"""Comparison of the reference documents with the code."""
+
+from __future__ import annotations
--- a/tests/documents/document_rows.py
+++ b/tools/documents/rows.py
@@ -1,6 +1,6 @@
 """Rows of the reference documents, read from the code and from the documents.
 
-Run ``python tests/documents/document_rows.py`` to print the rows that a document lacks, ready to be
+Run ``python tools/documents/rows.py`` to print the rows that a document lacks, ready to be
 filled in, and those that the code no longer has.
 """
 
@@ -130,7 +130,7 @@
 
     registry = Metrics().registry
     CallersMetrics(registry)
-    rows = {}
+    rows: Rows = {}
     for family in registry.collect():
         if family.name.startswith("medlarpass_"):
             name = f"{family.name}_total" if family.type == "counter" else family.name
@@ -263,7 +263,8 @@
     if validator is bool:
         return "true or false", NO_BOUNDS
     if isinstance(validator, vol.In):
-        return "one of " + ", ".join(map(str, validator.container)), NO_BOUNDS
+        container: Any = validator.container
+        return "one of " + ", ".join(map(str, container)), NO_BOUNDS
     if isinstance(validator, vol.Any) and isinstance(validator.validators[0], dict):
         modes = [
             value
--- a/tools/measure/load_client.py
+++ b/tools/measure/load_client.py
@@ -16,7 +16,7 @@
 
 import uvloop
 
-from tests.support.ports import LOOPBACK
+from tools.bench.ports import LOOPBACK
 from tools.measure.figures import percentile
 
 HEAD_END = b"\r\n\r\n"
--- a/tools/measure/pass_through.py
+++ b/tools/measure/pass_through.py
@@ -17,7 +17,7 @@
 from aiohttp import TCPConnector
 from aiohttp import web
 
-from tests.support.ports import LOOPBACK
+from tools.bench.ports import LOOPBACK
 
 HOP_BY_HOP = {"connection", "content-length", "host", "transfer-encoding"}
 
--- a/tools/measure/path.py
+++ b/tools/measure/path.py
@@ -14,12 +14,12 @@
 
 from examples.quickstart import TABLES
 from medlarpass.ownership import shard_of
-from tests.support.cluster import Cluster
-from tests.support.http_call import HttpAnswer
-from tests.support.http_call import call
-from tests.support.ports import LOOPBACK
-from tests.support.process import ChildProcess
-from tests.support.process import eventually
+from tools.bench.cluster import Cluster
+from tools.bench.http_call import HttpAnswer
+from tools.bench.http_call import call
+from tools.bench.ports import LOOPBACK
+from tools.bench.process import ChildProcess
+from tools.bench.process import eventually
 from tools.measure.profile_parts import parts_of
 from tools.measure.registry import section
 from tools.measure.row import Row
