Supervise tasks, pause between failed reports, measure the cost of control

Cause: a task that failed for an unexpected reason died unseen. A coordinator that was cut off from control sent about 50 reports a second and logged each; every confirmed report woke all waiting heartbeats and watches although no grant had changed (all found by reading).

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
@@ -22,6 +22,7 @@
 from medlarpass_daemon.control.replication_service import ReplicationService
 from medlarpass_daemon.control.status_poller import StatusPoller
 from medlarpass_daemon.control.wall_clock import WallClock
+from medlarpass_daemon.supervision import supervise
 
 if TYPE_CHECKING:
     import grpc
@@ -93,8 +94,8 @@
         """Start the replica; the gRPC server must be serving."""
         await self.replica.start()
         self.tasks = [
-            asyncio.create_task(self.delegator.run()),
-            asyncio.create_task(self.poller.run()),
+            asyncio.create_task(supervise("delegator", self.delegator.run)),
+            asyncio.create_task(supervise("status poller", self.poller.run)),
         ]
         await self.operators.start()
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
@@ -7,20 +7,18 @@
 
 from typing import TYPE_CHECKING
 
-import grpc
-
 from medlarpass import MedlarpassError
 from medlarpass.ownership import Coordinator
 from medlarpass.ownership.exceptions import EpochsPendingError
 from medlarpass.rpc import control_pb2
-from medlarpass.rpc import control_pb2_grpc
 from medlarpass.rpc import domain_pb2
 from medlarpass_daemon.entry.domain_measures import DomainMeasures
-from medlarpass_daemon.entry.events import COORDINATOR_REPORT_FAILED
+from medlarpass_daemon.entry.domain_reporter import DomainReporter
 from medlarpass_daemon.entry.events import COORDINATOR_STARTED
 from medlarpass_daemon.entry.events import COORDINATOR_STOPPED
 from medlarpass_daemon.entry.events import GRANTS_NOT_REPLICATED
 from medlarpass_daemon.entry.grant_planner import GrantPlanner
+from medlarpass_daemon.supervision import supervise
 
 if TYPE_CHECKING:
     from medlarpass import Clock
@@ -34,15 +32,11 @@
     from medlarpass_daemon.settings import DaemonSettings
     from medlarpass_daemon.settings import EntrySettings
 
-MILLISECONDS = 1000
 #: Seconds between two looks at sessions, unless something happens earlier.
 TICK = 0.02
 #: Seconds between two plans while all shards have owners, and while some have none.
 PLAN_INTERVAL = 1.0
 GAP_PLAN_INTERVAL = 0.05
-#: Seconds between two reports to control, unless something was released.
-REPORT_INTERVAL = 1.0
-REPORT_TIMEOUT = 1.0
 #: The lease is renewed this often within its term.
 RENEWALS_PER_TERM = 4
 #: Longest time a poll is held open, in seconds, whatever the caller asks for.
@@ -65,9 +59,7 @@
     """
 
     __slots__ = (
-        "channels",
         "clock",
-        "control",
         "coordinator",
         "entry",
         "in_office",
@@ -77,7 +69,7 @@
         "planner",
         "proposer",
         "registry",
-        "report_due",
+        "reporter",
         "resigning",
         "settings",
         "store",
@@ -104,8 +96,6 @@
         self.proposer = proposer
         self.registry = registry
         self.store = store
-        self.control = control
-        self.channels = channels
         self.clock = clock
         self.coordinator = Coordinator(clock, entry.session_term, proposer.is_holder)
         self.planner = GrantPlanner(
@@ -117,8 +107,17 @@
         self.news = asyncio.Event()
         #: Set when there is something to plan.
         self.work = asyncio.Event()
-        #: Set when a report to control should not wait.
-        self.report_due = asyncio.Event()
+        self.reporter = DomainReporter(
+            settings,
+            proposer,
+            self.coordinator,
+            self.planner,
+            registry,
+            store,
+            control,
+            channels,
+            clock,
+        )
         #: Revision of the registry that the last plan has seen.
         self.planned_revision = -1
         self.tasks: list[asyncio.Task[None]] = []
@@ -203,11 +202,11 @@
         self.planner.reset()
         self.in_office = True
         self.metrics.coordinator_lease.labels(self.settings.domain).set(1)
-        self.report_due.set()
+        self.reporter.due.set()
         self.work.set()
         self.tasks = [
-            asyncio.create_task(self._run_grants()),
-            asyncio.create_task(self._run_reports()),
+            asyncio.create_task(supervise("grants", self._run_grants)),
+            asyncio.create_task(supervise("domain reports", self._run_reports)),
         ]
         COORDINATOR_STARTED.log(domain=self.settings.domain, ballot=self.proposer.ballot.number)
 
@@ -294,14 +293,16 @@
         try:
             record = self.coordinator.grants.record(self.proposer.ballot)
         except EpochsPendingError:
-            self.report_due.set()
+            self.reporter.due.set()
             return
         if not await self.proposer.replicate(record):
             GRANTS_NOT_REPLICATED.log(version=record.version)
             return
+        if record.version == self._version():
+            return
         self.coordinator.grants.commit(record.version)
         if self.coordinator.grants.released_shards():
-            self.report_due.set()
+            self.reporter.due.set()
         self._publish()
 
     def _publish(self) -> None:
@@ -310,14 +311,11 @@
 
     async def _run_reports(self) -> None:
         while True:
-            try:
-                async with asyncio.timeout(REPORT_INTERVAL):
-                    await self.report_due.wait()
-            except TimeoutError:
-                pass
-            self.report_due.clear()
-            await self._report()
-            await asyncio.sleep(TICK)
+            self._set_gauges()
+            await self.reporter.next_confirmed()
+            self.work.set()
+            # A successor needs the terms of this report to go on without control.
+            await self._replicate()
 
     def _set_gauges(self) -> None:
         domain = self.settings.domain
@@ -332,52 +330,6 @@
         for pool, count in counts.items():
             self.metrics.delegated_shards.labels(pool, domain).set(count)
 
-    async def _report(self) -> None:
-        self._set_gauges()
-        address = self.control.leader or self.control.next_address()
-        readings = dict(self.proposer.readings)
-        asked_at = self.clock.now()
-        stub = control_pb2_grpc.ControlStub(self.channels.to(address))
-        try:
-            response: control_pb2.DomainReportResponse = await stub.ReportDomain(
-                self._domain_report(), timeout=REPORT_TIMEOUT
-            )
-        except grpc.aio.AioRpcError as error:
-            COORDINATOR_REPORT_FAILED.log(address=address, status=error.code().name)
-            self.control.leader = ""
-            self.report_due.set()
-            return
-        self.control.leader = response.leader_address
-        if not response.confirmed:
-            self.report_due.set()
-            return
-        self.coordinator.grants.apply_report(response, asked_at, readings)
-        if response.new_epochs:
-            self.proposer.epochs_renewed()
-        self.work.set()
-        # A successor needs the terms of this report to go on without control.
-        await self._replicate()
-
-    def _domain_report(self) -> control_pb2.DomainReport:
-        grants = self.coordinator.grants
-        servers = self.registry.statuses(self.settings.domain)
-        for server in servers:
-            session = self.coordinator.sessions.live(server.identity, server.incarnation)
-            if session is not None:
-                server.holds_session = True
-                remaining = session.expiry - self.clock.now()
-                server.session_remaining_ms = max(0, int(remaining * MILLISECONDS))
-        return control_pb2.DomainReport(
-            domain=self.settings.domain,
-            coordinator=self.settings.name,
-            ballot=self.proposer.ballot.number,
-            needs_new_epochs=grants.epochs_pending,
-            loads=self.planner.pool_loads(self.store.pools),
-            released=grants.released_shards(),
-            servers=servers,
-            grants=grants.visible(),
-        )
-
 
 def _failure(error: MedlarpassError) -> control_pb2.Failure:
     return control_pb2.Failure(code=error.code, message=error.message)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
@@ -34,6 +34,7 @@
 from medlarpass_daemon.entry.peer_exchange import PeerExchange
 from medlarpass_daemon.entry.server_gateway import ServerGateway
 from medlarpass_daemon.entry.servers_server import ServersServer
+from medlarpass_daemon.supervision import supervise
 
 if TYPE_CHECKING:
     import grpc
@@ -138,14 +139,15 @@
     async def start(self) -> None:
         """Start all tasks and listeners; the gRPC server must be serving."""
         watcher = ConfigurationWatcher(self.settings, self.store, self.control, self.channels)
-        self.tasks = [
-            asyncio.create_task(watcher.run()),
-            asyncio.create_task(self._follow_configuration()),
-            asyncio.create_task(self._drop_departed()),
-            asyncio.create_task(self.coordinator.run()),
-            asyncio.create_task(self.exchange.run()),
-            *(asyncio.create_task(self._watcher(domain).run()) for domain in self.owners.views),
-        ]
+        runs = {
+            "configuration watcher": watcher.run,
+            "configuration": self._follow_configuration,
+            "departed servers": self._drop_departed,
+            "coordinator": self.coordinator.run,
+            "peer exchange": self.exchange.run,
+            **{f"domain {each}": self._watcher(each).run for each in self.owners.views},
+        }
+        self.tasks = [asyncio.create_task(supervise(name, run)) for name, run in runs.items()]
         await self.servers.start()
         await self.callers.start()
 
--- a/tools/measure/registry.py
+++ b/tools/measure/registry.py
@@ -21,6 +21,7 @@
     "placement",
     "path",
     "slopes",
+    "control_load",
 )
 
 Run = Callable[[Options], list[Row]]
