--- a/tools/measure/placement.py
+++ b/tools/measure/placement.py
@@ -4,11 +4,15 @@
 
 from math import inf
 from typing import TYPE_CHECKING
+from typing import Any
 
 from medlarpass.ownership import Assignment
+from medlarpass.ownership.hot_key_policy import HotKeySettings
 from medlarpass.ownership.placement_baselines import consistent_hashing
 from medlarpass.ownership.placement_baselines import modulo_hashing
 from medlarpass.ownership.placement_baselines import rendezvous_hashing
+from medlarpass_daemon.control.delegator import HYSTERESIS as DELEGATION_HYSTERESIS
+from medlarpass_daemon.entry.grant_planner import HYSTERESIS
 from tools.measure.deployment import BUNGKUS
 from tools.measure.deployment import DEPLOYMENTS
 from tools.measure.figures import mean
@@ -174,25 +178,25 @@
 
 
 def _policies(deployment: Deployment, load: KeyLoad) -> dict[str, Callable[[], Model]]:
-    # What the daemon uses for pools that favour balance and availability.
-    hysteresis = 0.05 if deployment is BUNGKUS else 0.1
-
-    proposed = Variant(
-        hysteresis=0.08,
-        own_mean=True,
-        isolate_share=0.05,
-        weigh=True,
-        delegation_hysteresis=0.08,
-    )
+    favours = "balance" if deployment is BUNGKUS else "availability"
+    daemon: dict[str, Any] = {
+        "hysteresis": HYSTERESIS[favours],
+        "own_mean": True,
+        "isolate_share": HotKeySettings().isolate_share,
+        "weigh": True,
+        "delegation_hysteresis": DELEGATION_HYSTERESIS,
+    }
+    # What the daemon used before the first measurement.
+    earlier = Variant(hysteresis=0.05 if deployment is BUNGKUS else 0.1)
 
     def coordinated(variant: Variant) -> Callable[[], Model]:
         return lambda: CoordinatedModel(deployment.domains, deployment.slots, load, variant)
 
     return {
-        "medlarpass": coordinated(Variant(hysteresis)),
-        "proposed settings": coordinated(proposed),
-        "rates not averaged": coordinated(Variant(hysteresis, smoothing=0.0)),
-        "no isolation": coordinated(Variant(hysteresis, isolate=False)),
+        "medlarpass": coordinated(Variant(**daemon)),
+        "earlier settings": coordinated(earlier),
+        "rates not averaged": coordinated(Variant(**daemon, smoothing=0.0)),
+        "no isolation": coordinated(Variant(**daemon, isolate=False)),
         "modulo": lambda: HashModel(modulo_hashing),
         "consistent hashing": lambda: HashModel(consistent_hashing),
         "rendezvous": lambda: HashModel(rendezvous_hashing),
