Make one piece of code serve twins in the entry

Cause: three calls of the acceptor's client differed only by their names, and two places looked up the coordinator's address (found by reading the whole change). Change: one call with the error translation; EntrySettings.address_of. Conclusion: behaviour is unchanged.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/acceptor_clients.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/acceptor_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 import grpc
 
@@ -10,6 +11,11 @@
 from medlarpass.rpc import domain_pb2_grpc
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from google.protobuf.message import Message
+
     from medlarpass.ownership import LeaseAcceptor
     from medlarpass_daemon.rpc_channels import RpcChannels
 
@@ -60,12 +66,7 @@
 
         :raises ConnectionError: when the entry did not answer
         """
-        try:
-            response: domain_pb2.PrepareResponse = await self._stub().Prepare(
-                request, timeout=self.timeout
-            )
-        except grpc.aio.AioRpcError as error:
-            raise ConnectionError(self.address) from error
+        response: domain_pb2.PrepareResponse = await self._call(self._stub().Prepare, request)
         return response
 
     async def accept(self, request: domain_pb2.AcceptRequest) -> domain_pb2.AcceptResponse:
@@ -73,12 +74,7 @@
 
         :raises ConnectionError: when the entry did not answer
         """
-        try:
-            response: domain_pb2.AcceptResponse = await self._stub().Accept(
-                request, timeout=self.timeout
-            )
-        except grpc.aio.AioRpcError as error:
-            raise ConnectionError(self.address) from error
+        response: domain_pb2.AcceptResponse = await self._call(self._stub().Accept, request)
         return response
 
     async def replicate_grants(
@@ -88,13 +84,16 @@
 
         :raises ConnectionError: when the entry did not answer
         """
+        response: domain_pb2.ReplicateGrantsResponse = await self._call(
+            self._stub().ReplicateGrants, request
+        )
+        return response
+
+    async def _call(self, method: Callable[..., Awaitable[Any]], request: Message) -> Any:
         try:
-            response: domain_pb2.ReplicateGrantsResponse = await self._stub().ReplicateGrants(
-                request, timeout=self.timeout
-            )
+            return await method(request, timeout=self.timeout)
         except grpc.aio.AioRpcError as error:
             raise ConnectionError(self.address) from error
-        return response
 
     def _stub(self) -> domain_pb2_grpc.DomainStub:
         return domain_pb2_grpc.DomainStub(self.channels.to(self.address))
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/coordinator_task.py
@@ -165,17 +165,11 @@
         response = self._watch_now(request)
         _add_servers(response, self.registry.statuses(self.settings.domain))
         if not response.coordinator:
-            response.coordinator_address = self.coordinator_address()
+            response.coordinator_address = self.entry.address_of(
+                self.proposer.holder, self.settings.domain
+            )
         return response
 
-    def coordinator_address(self) -> str:
-        """Return the address of the coordinator as far as this entry knows, or an empty text."""
-        acceptor_holder = self.proposer.holder
-        for peer in self.entry.peers:
-            if peer.name == acceptor_holder and peer.domain == self.settings.domain:
-                return peer.address
-        return ""
-
     async def _compete(self) -> None:
         pause = self.proposer.term / RENEWALS_PER_TERM
         if self.resigning:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/server_gateway.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/server_gateway.py
@@ -122,7 +122,7 @@
     ) -> domain_pb2.HeartbeatResponse:
         if self.coordinator.in_office:
             return await self.coordinator.heartbeat(request)
-        address = self._coordinator_address()
+        address = self.entry.address_of(self.acceptor.holder_entry(), self.settings.domain)
         if not address:
             return domain_pb2.HeartbeatResponse(coordinator=False)
         stub = domain_pb2_grpc.DomainStub(self.channels.to(address))
@@ -135,13 +135,6 @@
             return domain_pb2.HeartbeatResponse(coordinator=False)
         return answer
 
-    def _coordinator_address(self) -> str:
-        holder = self.acceptor.holder_entry()
-        for peer in self.entry.peers:
-            if peer.name == holder and peer.domain == self.settings.domain:
-                return peer.address
-        return ""
-
     def _checked(self, answer: domain_pb2.HeartbeatResponse) -> domain_pb2.HeartbeatResponse:
         if answer.HasField("failure"):
             failure = answer.failure
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/entry.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/entry.py
@@ -49,3 +49,14 @@
         #: Age of a server's last word after which it gets no more work.
         self.server_staleness: float = document["server_staleness"]
         self.sync_interval: float = document["sync_interval"]
+
+    def address_of(self, name: str, domain: str) -> str:
+        """Return the gRPC address of an entry, or an empty text when it is not listed.
+
+        :param name: name of the entry
+        :param domain: its failure domain
+        """
+        for peer in self.peers:
+            if (peer.name, peer.domain) == (name, domain):
+                return peer.address
+        return ""
