--- a/packages/medlarpass-daemon/src/medlarpass_daemon/application.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/application.py
@@ -10,6 +10,7 @@
 from medlarpass import BootClock
 from medlarpass_daemon.control.control_role import ControlRole
 from medlarpass_daemon.entry.entry_role import EntryRole
+from medlarpass_daemon.entry.fleet import FleetEntryRole
 from medlarpass_daemon.events import PROCESS_STARTED
 from medlarpass_daemon.events import PROCESS_STOPPED
 from medlarpass_daemon.events import STOP_ABANDONED
@@ -22,9 +23,13 @@
 from medlarpass_daemon.observability.readiness import STARTING
 from medlarpass_daemon.rpc_channels import RpcChannels
 from medlarpass_daemon.rpc_server import RpcServer
+from medlarpass_daemon.seeds import Seeds
+from medlarpass_daemon.settings_watcher import SettingsWatcher
+from medlarpass_daemon.supervision import supervise
 
 if TYPE_CHECKING:
     from medlarpass_daemon.settings import DaemonSettings
+    from medlarpass_daemon.settings import EntrySettings
 
 #: Reason against readiness during a planned stop.
 STOPPING = "stopping"
@@ -50,8 +55,11 @@
         "platform",
         "readiness",
         "rpc",
+        "seeds",
         "settings",
         "signals",
+        "watcher",
+        "watching",
     )
 
     def __init__(self, settings: DaemonSettings) -> None:
@@ -63,8 +71,13 @@
         self.readiness = Readiness()
         self.metrics.ready.set_function(lambda: float(self.readiness.is_ready))
         self.platform = PlatformServer(settings, self.readiness, self.metrics.registry)
-        self.log_writer = LogWriter(settings.log_file, self.metrics.log_lines_dropped.inc)
-        self.entry: EntryRole | None = None
+        self.log_writer = LogWriter(
+            settings.log_file, self.metrics.log_lines_dropped.inc, settings.log_rate
+        )
+        self.seeds = Seeds(settings)
+        self.watcher = SettingsWatcher(settings, self.seeds)
+        self.watching: asyncio.Task[None] | None = None
+        self.entry: EntryRole | FleetEntryRole | None = None
         self.control: ControlRole | None = None
         self.signals: asyncio.Queue[int] = asyncio.Queue()
 
@@ -90,22 +103,21 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.signals.put_nowait, number)
+        loop.add_signal_handler(signal.SIGHUP, self.watcher.asked.set)
 
     async def _start(self) -> None:
         if self.settings.control:
             self.control = ControlRole(
-                self.settings, self.settings.control, self.channels, self.metrics, self.clock
-            )
-            self.control.add_services(self.rpc.server)
-        if self.settings.entry:
-            self.entry = EntryRole(
                 self.settings,
-                self.settings.entry,
+                self.settings.control,
                 self.channels,
-                self.readiness,
                 self.metrics,
                 self.clock,
+                self.seeds,
             )
+            self.control.add_services(self.rpc.server)
+        if self.settings.entry:
+            self.entry = self._entry_role(self.settings.entry)
             self.entry.add_services(self.rpc.server)
         await self.platform.start()
         await self.rpc.start()
@@ -113,8 +125,24 @@
             await self.control.start()
         if self.entry:
             await self.entry.start()
+        self.watching = asyncio.create_task(supervise("settings watcher", self.watcher.run))
         self.readiness.clear(STARTING)
 
+    def _entry_role(self, entry: EntrySettings) -> EntryRole | FleetEntryRole:
+        if self.settings.fleet is None:
+            return EntryRole(
+                self.settings, entry, self.channels, self.readiness, self.metrics, self.clock
+            )
+        return FleetEntryRole(
+            self.settings,
+            entry,
+            self.channels,
+            self.readiness,
+            self.metrics,
+            self.clock,
+            self.seeds,
+        )
+
     async def _signal_or_failure(self) -> int | None:
         waiting = asyncio.create_task(self.signals.get())
         if self.control is None:
@@ -143,7 +171,11 @@
 
     async def _stop(self) -> None:
         self.readiness.block(STOPPING, "a planned stop is under way")
+        if self.entry:
+            self.entry.announce_stop()
         await asyncio.sleep(self.settings.stop.balancer_wait)
+        if self.watching is not None:
+            self.watching.cancel()
         if self.entry:
             await self.entry.finish()
             await self.entry.stop()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
@@ -11,9 +11,15 @@
 from medlarpass.replication import Replica
 from medlarpass.replication import ReplicationSettings
 from medlarpass.rpc import control_pb2_grpc
+from medlarpass.rpc import fleet_pb2_grpc
 from medlarpass.rpc import replication_pb2_grpc
 from medlarpass_daemon.control.control_service import ControlService
 from medlarpass_daemon.control.delegator import Delegator
+from medlarpass_daemon.control.fleet.fleet_operations import FleetOperations
+from medlarpass_daemon.control.fleet.fleet_service import FleetService
+from medlarpass_daemon.control.fleet.fleet_state import FleetState
+from medlarpass_daemon.control.fleet.membership_keeper import MembershipKeeper
+from medlarpass_daemon.control.fleet.range_keeper import RangeKeeper
 from medlarpass_daemon.control.operators import OperatorsServer
 from medlarpass_daemon.control.operators_backend import OperatorsBackend
 from medlarpass_daemon.control.place_reports import PlaceReports
@@ -28,10 +34,14 @@
     import grpc
 
     from medlarpass import Clock
+    from medlarpass_daemon.adapter import Listener
+    from medlarpass_daemon.control.fleet.server_calls import ServerCalls
     from medlarpass_daemon.observability import Metrics
     from medlarpass_daemon.rpc_channels import RpcChannels
+    from medlarpass_daemon.seeds import Seeds
     from medlarpass_daemon.settings import ControlSettings
     from medlarpass_daemon.settings import DaemonSettings
+    from medlarpass_daemon.settings import FleetSettings
 
 #: The greatest election timeout over the least.
 ELECTION_SPREAD = 2.0
@@ -45,16 +55,23 @@
     :param channels: gRPC channels
     :param metrics: metrics of the process
     :param clock: clock of this process
+    :param seeds: addresses at which other replicas are looked for first
     """
 
     __slots__ = (
+        "calls",
         "control",
         "delegator",
+        "fleet",
+        "keeper",
+        "listener",
         "log",
+        "membership",
         "operators",
         "places",
         "poller",
         "replica",
+        "seeds",
         "settings",
         "state",
         "tasks",
@@ -67,9 +84,11 @@
         channels: RpcChannels,
         metrics: Metrics,
         clock: Clock,
+        seeds: Seeds,
     ) -> None:
         self.settings = settings
         self.control = control
+        self.seeds = seeds
         self.state = ControlState()
         self.replica = Replica(
             replication_settings(settings, control), self.state, ReplicaTransport(channels), clock
@@ -80,8 +99,35 @@
         self.poller = StatusPoller(self.replica, channels, metrics)
         backend = OperatorsBackend(self.log, self.poller, channels, clock)
         self.operators = OperatorsServer(settings, backend, clock)
+        self.membership: MembershipKeeper | None = None
+        self.keeper: RangeKeeper | None = None
+        self.listener: Listener | None = None
+        self.calls: ServerCalls | None = None
+        if settings.fleet is not None:
+            self._add_fleet(settings.fleet, seeds, channels, clock)
         self.tasks: list[asyncio.Task[None]] = []
 
+    def _add_fleet(
+        self, settings: FleetSettings, seeds: Seeds, channels: RpcChannels, clock: Clock
+    ) -> None:
+        adapter = settings.load_adapter()
+        self.fleet = FleetState(self.state, clock)
+        self.calls = adapter.server_calls()
+        # A voter that heard from the leader within this time does not vote for another one.
+        lease = self.control.election_timeout * (1 - self.replica.state.settings.drift_margin)
+        self.keeper = RangeKeeper(self.log, self.fleet, self.calls, settings, lease, clock)
+        self.membership = MembershipKeeper(
+            self.replica,
+            self.settings.domain,
+            self.settings.rpc.endpoint(),
+            seeds,
+            channels,
+            clock,
+        )
+        self.listener = adapter.control_listener(
+            self.settings, FleetOperations(self.log, self.fleet)
+        )
+
     def add_services(self, server: grpc.aio.Server) -> None:
         """Add the gRPC services of this role."""
         service = ControlService(self.log, self.delegator, self.places)
@@ -89,23 +135,55 @@
         replication_pb2_grpc.add_ReplicationServicer_to_server(
             ReplicationService(self.replica), server
         )
+        if self.membership is not None:
+            fleet_pb2_grpc.add_FleetServicer_to_server(
+                FleetService(self.log, self.fleet, self.membership), server
+            )
 
     async def start(self) -> None:
         """Start the replica; the gRPC server must be serving."""
+        await self._prepare_first_start()
         await self.replica.start()
-        self.tasks = [
-            asyncio.create_task(supervise("delegator", self.delegator.run)),
-            asyncio.create_task(supervise("status poller", self.poller.run)),
-        ]
+        runs = {"status poller": self.poller.run}
+        if self.keeper is not None and self.membership is not None:
+            runs["range keeper"] = self.keeper.run
+            runs["membership"] = self.membership.run
+        else:
+            runs["delegator"] = self.delegator.run
+        self.tasks = [asyncio.create_task(supervise(name, run)) for name, run in runs.items()]
         await self.operators.start()
+        if self.listener is not None:
+            await self.listener.start()
 
     async def stop(self) -> None:
         """Finish operators' calls, hand over leadership and close the log."""
+        if self.listener is not None:
+            await self.listener.stop()
         await self.operators.stop()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.replica.stop(hand_over=True)
+        if self.calls is not None:
+            await self.calls.close()
+
+    async def _prepare_first_start(self) -> None:
+        """Form the group from the seeds when the whole system starts for the first time.
+
+        A later empty folder is that of a lost disk; the replica then joins under a new identity.
+        """
+        fleet = self.settings.fleet
+        if fleet is None or not fleet.first_start:
+            return
+        own = self.settings.rpc.endpoint()
+        members = [Member(each, each, "") for each in self.seeds.addresses]
+        if own not in self.seeds.addresses or not await self._is_folder_empty():
+            return
+        await self.replica.bootstrap(members)
+
+    async def _is_folder_empty(self) -> bool:
+        folder = self.control.data_folder
+        return await asyncio.to_thread(lambda: not folder.exists() or not any(folder.iterdir()))
 
 
 async def initialise(settings: DaemonSettings, control: ControlSettings, clock: Clock) -> None:
@@ -128,7 +206,8 @@
 def replication_settings(settings: DaemonSettings, control: ControlSettings) -> ReplicationSettings:
     """Return the settings of the replica."""
     return ReplicationSettings(
-        settings.name,
+        # Replicas that find each other through seeds know each other by address only.
+        settings.name if settings.fleet is None else settings.rpc.endpoint(),
         settings.rpc.endpoint(),
         settings.domain,
         control.data_folder,
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -0,0 +1,135 @@
+"""What servers and operators of the fleet ask of control."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass.publication import Publication
+from medlarpass.publication import PublicationError
+from medlarpass.replication import NotLeaderError
+from medlarpass.rpc import control_pb2
+from medlarpass_daemon.control.fleet import events
+from medlarpass_daemon.control.fleet.exceptions import NotLeadingError
+from medlarpass_daemon.control.fleet.exceptions import NotPublishedError
+from medlarpass_daemon.exceptions import ControlUnavailableError
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from medlarpass.fleet import ServerNotice
+    from medlarpass_daemon.control.fleet.fleet_state import FleetState
+    from medlarpass_daemon.control.replica_log import ReplicaLog
+
+
+class FleetOperations:
+    """Calls that the leader answers; other replicas name the leader.
+
+    :param log: replicated log
+    :param fleet: servers and ranges
+    """
+
+    __slots__ = ("fleet", "log")
+
+    def __init__(self, log: ReplicaLog, fleet: FleetState) -> None:
+        self.log = log
+        self.fleet = fleet
+
+    async def notice(self, notice: ServerNotice) -> None:
+        """Take a heartbeat; a return confirms it.
+
+        The confirmation that a server is leaving binds all later leaders, so it waits for the log.
+
+        :raises NotLeadingError: another replica leads
+        :raises UnknownResultError: the result is not known
+        """
+        self._check_leading()
+        if self.fleet.directory.observe(notice):
+            events.SERVER_JOINED.log(
+                server=notice.identity, life=notice.life, pool=notice.pool, domain=notice.domain
+            )
+            self._mark_if_retired(notice.identity, notice.life)
+            self.fleet.notify()
+        if notice.is_leaving:
+            await self.retire(notice.identity, notice.life)
+
+    async def retire(self, identity: str, life: int | None) -> None:
+        """Let a server get no new work from now on; a return confirms it.
+
+        :param life: life that leaves; None for the newest known
+        :raises NotLeadingError: another replica leads
+        :raises UnknownResultError: the result is not known
+        """
+        self._check_leading()
+        member = self.fleet.directory.members.get(identity)
+        if life is None:
+            life = member.notice.life if member is not None else 0
+        if not self.fleet.state.ranges.is_retired(identity, life):
+            command = control_pb2.Command(
+                retire_server=control_pb2.RetireServer(identity=identity, life=life)
+            )
+            await self._propose(command)
+            events.SERVER_RETIRED.log(server=identity, life=life)
+        if self.fleet.directory.retire(identity, life):
+            self.fleet.notify()
+
+    async def publish(self, document: dict[str, Any], source: bytes) -> int:
+        """Put routes and pools in force if their version is higher.
+
+        :param document: in the form of :class:`~medlarpass.publication.Publication`
+        :param source: text of the operator
+        :returns: version in force
+        :raises InvalidPublicationError: the document is not valid
+        :raises NotLeadingError: another replica leads
+        :raises UnknownResultError: the result is not known
+        """
+        try:
+            publication = Publication.from_document(document)
+        except PublicationError as error:
+            events.PUBLICATION_REFUSED.log(reason=error.message)
+            raise
+        self._check_leading()
+        in_force = self.fleet.state.publication.version
+        if publication.version <= in_force:
+            events.PUBLICATION_UNCHANGED.log(version=publication.version, in_force=in_force)
+            return in_force
+        body = control_pb2.Publish(
+            version=publication.version, document=publication.to_json(), source=source
+        )
+        result = await self._propose(control_pb2.Command(publish=body))
+        events.PUBLICATION_ACCEPTED.log(
+            version=publication.version,
+            changed=result.publish.changed,
+            routes=len(publication.routes),
+        )
+        return result.publish.version
+
+    async def read(self) -> bytes:
+        """Return the text of the newest publication.
+
+        :raises NotLeadingError: another replica leads
+        :raises NotPublishedError: there is none
+        """
+        replica = self.log.replica
+        try:
+            index = await replica.read_index()
+        except NotLeaderError as error:
+            raise NotLeadingError(self.log.leader_address()) from error
+        await replica.wait_applied(index)
+        stored = self.fleet.state.publication
+        if not stored.version:
+            raise NotPublishedError("nothing was published yet")
+        return stored.source
+
+    def _check_leading(self) -> None:
+        if not self.log.replica.is_leader:
+            raise NotLeadingError(self.log.leader_address())
+
+    def _mark_if_retired(self, identity: str, life: int) -> None:
+        if self.fleet.state.ranges.is_retired(identity, life):
+            self.fleet.directory.retire(identity, life)
+
+    async def _propose(self, command: control_pb2.Command) -> control_pb2.CommandResult:
+        try:
+            return await self.log.propose(command)
+        except ControlUnavailableError as error:
+            raise NotLeadingError(self.log.leader_address()) from error
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/answer.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/answer.py
@@ -65,6 +65,7 @@
                 while size < limit and not content.at_eof():
                     parts.append(await content.readany())
                     size += len(parts[-1])
+            self._check_whole()
         except Exception as error:
             self.close()
             raise _typed(error) from error
@@ -84,10 +85,17 @@
                 chunk = await content.readany()
                 if chunk:
                     yield chunk
+            self._check_whole()
         except Exception as error:
             self.close()
             raise _typed(error) from error
 
+    def _check_whole(self) -> None:
+        """Raise the error of a body that ended because its connection was reset."""
+        error = self.response.content.exception()
+        if error is not None:
+            raise error
+
     def close(self) -> None:
         """End the exchange; its connection is closed unless the answer is complete."""
         self.response.close()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -11,10 +11,10 @@
 from medlarpass import Outcome
 from medlarpass.dispatch import RetryDecision
 from medlarpass.dispatch import kind_of
-from medlarpass_daemon.entry.callers import headers
 from medlarpass_daemon.entry.callers.caller_request import CallerRequest
 from medlarpass_daemon.entry.callers.caller_request import EnquiryRequest
 from medlarpass_daemon.entry.callers.delivery import Delivery
+from medlarpass_daemon.entry.callers.events import ATTEMPT_FAILED
 from medlarpass_daemon.entry.callers.exceptions import AnswerLostError
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.exceptions import KeyMovedError
@@ -48,23 +48,46 @@
     :raises MedlarpassError: the error of the last attempt
     """
     tried: set[str] = set()
-    attempts = 0
     while True:
-        attempts += 1
+        request.attempts += 1
         try:
             return await _attempt(path, request, tried, prefetch)
         except MedlarpassError as error:
             if error.outcome is Outcome.UNKNOWN:
                 request.may_have_run = True
-            if not await _may_retry(path, request, state, error, attempts):
+            repeats = await _may_retry(path, request, state, error, request.attempts)
+            _log_failure(path, request, error, repeats)
+            if not repeats:
                 raise
         path.metrics.retries.labels(request.route.name).inc()
 
 
+def _log_failure(
+    path: RequestPath, request: CallerRequest, error: MedlarpassError, repeats: bool
+) -> None:
+    target = request.target
+    ATTEMPT_FAILED.log(
+        request_id=request.request_id,
+        route=request.route.name,
+        pool=request.pool.name,
+        key=request.owned_key,
+        attempt=request.attempts,
+        server=target.identity if target is not None else None,
+        fence=target.fence if target is not None else None,
+        revision=path.routing.revision,
+        code=error.code,
+        reason=error.message,
+        outcome=error.outcome.value,
+        remaining=round(request.remaining, 4),
+        repeats=repeats,
+    )
+
+
 async def _attempt(
     path: RequestPath, request: CallerRequest, tried: set[str], prefetch: int
 ) -> Delivery:
     place = await _place(path, request, tried)
+    request.target = place.target
     tried.add(place.target.identity)
     watched = _watch(request, path, place.target)
     try:
@@ -97,6 +120,8 @@
     key = request.owned_key
     if key is None or not isinstance(request, EnquiryRequest):
         return None
+    if not path.owners.ends_lost_attempts:
+        return None
     return path.owner_watch.begin(lambda: path.owners.is_current(request.pool, key, target))
 
 
@@ -117,22 +142,24 @@
 
 
 async def _owner(path: RequestPath, request: CallerRequest, key: str) -> Target:
+    wait_until = path.clock.now() + path.settings.owner_wait
     while True:
         try:
             return path.owners.owner_of(request.pool, key)
         except NoOwnerError as error:
-            remaining = request.remaining
-            if remaining <= 0:
+            if request.remaining <= 0:
                 raise DeadlineExceededError("no server owned the key until the deadline") from error
-            await path.owners.wait_for_change(remaining)
+            rest = wait_until - path.clock.now()
+            if rest <= 0:
+                raise
+            await path.owners.wait_for_change(min(request.remaining, rest))
 
 
 def _exchange(path: RequestPath, request: CallerRequest, target: Target) -> Exchange:
     web = request.web
-    passed = headers.to_server(web.headers, request.request_id, web.remote or "unknown", web.scheme)
-    if target.shard is not None and target.fence is not None:
-        passed[headers.SHARD] = str(target.shard)
-        passed[headers.FENCE] = str(target.fence)
+    passed = path.dialect.to_server(
+        web.headers, request.request_id, web.remote or "unknown", web.scheme, target
+    )
     body = request.body.for_attempt()
     if request.body.is_streamed and request.body.length is not None:
         passed["Content-Length"] = str(request.body.length)
@@ -153,6 +180,7 @@
         request.deadline,
         path.clock,
         check,
+        path.dialect,
     )
 
 
@@ -168,7 +196,9 @@
 @may_pass.register(EnquiryRequest)
 def _(request: EnquiryRequest, path: RequestPath, target: Target) -> bool:
     key = request.owned_key
-    return key is None or path.owners.is_current(request.pool, key, target)
+    if key is None or not path.owners.ends_lost_attempts:
+        return True
+    return path.owners.is_current(request.pool, key, target)
 
 
 async def _may_retry(
@@ -180,7 +210,9 @@
 ) -> bool:
     if not request.body.can_repeat or request.is_gone or request.remaining <= 0:
         return False
-    if _is_rerouting(error):
+    if isinstance(error, KeyMovedError) or (
+        _is_rerouting(error) and not path.dialect.counts_reroutes
+    ):
         if request.owned_key is None:
             return attempts < MOST_REROUTES
         if isinstance(error, ServerRefusedError):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_request.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_request.py
@@ -15,6 +15,7 @@
     from medlarpass.tables import Pool
     from medlarpass.tables import Route
     from medlarpass_daemon.entry.callers.caller_body import CallerBody
+    from medlarpass_daemon.entry.callers.interfaces import Target
 
 
 class CallerRequest:
@@ -32,6 +33,7 @@
     """
 
     __slots__ = (
+        "attempts",
         "body",
         "clock",
         "deadline",
@@ -43,6 +45,7 @@
         "pool",
         "request_id",
         "route",
+        "target",
         "web",
     )
     #: Whether the answer is read to its end when the caller is gone.
@@ -69,6 +72,9 @@
         self.deadline = deadline
         self.body = body
         self.clock = clock
+        #: Attempts begun so far, and the server of the newest one.
+        self.attempts = 0
+        self.target: Target | None = None
         #: Whether the outcome of an attempt is unknown.
         self.may_have_run = False
         #: Whether the answer broke off after a part of it went to the caller.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_protocol.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_protocol.py
@@ -9,14 +9,15 @@
 
 from aiohttp import web
 
-from medlarpass_daemon.entry.callers import headers
-from medlarpass_daemon.entry.callers.error_response import error_response
 from medlarpass_daemon.entry.callers.exceptions import CallerError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from medlarpass.publication import CallerLimits
+    from medlarpass_daemon.entry.callers.dialect import Dialect
+
 #: Seconds an idle connection is kept; longer than that of usual load balancers, which would
 #: otherwise write to a connection that is just being closed.
 KEEPALIVE = 120.0
@@ -25,7 +26,16 @@
 class CallersProtocol(web.RequestHandler):
     """Answers requests that can't be parsed in the form of all other errors."""
 
-    __slots__ = ()
+    __slots__ = ("dialect",)
+
+    dialect: Dialect
+
+    def leave(self) -> None:
+        """Close the connection once requests that were already read are answered."""
+        if self._messages or self._request_in_progress:
+            self.close()
+        else:
+            self.force_close()
 
     def handle_error(
         self,
@@ -36,7 +46,7 @@
     ) -> web.StreamResponse:
         """Return the answer to a request that is not valid HTTP."""
         error = CallerError("the request is not valid HTTP")
-        response = error_response(error, headers.request_id_of(request.headers))
+        response = self.dialect.error_response(error, self.dialect.request_id_of(request.headers))
         response.force_close()
         return response
 
@@ -46,12 +56,17 @@
 
     :param handler: answers a request
     :param buffer: bytes read ahead of a body
+    :param dialect: headers and answers of the deployment
     """
 
     def __init__(
-        self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], buffer: int
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        buffer: int,
+        dialect: Dialect,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self.dialect = dialect
         self.options: dict[str, Any] = {
             "access_log": None,
             "auto_decompress": False,
@@ -59,6 +74,18 @@
             "read_bufsize": buffer,
         }
 
+    def protocols(self) -> list[CallersProtocol]:
+        """Return the open connections."""
+        return [each for each in self.connections if isinstance(each, CallersProtocol)]
+
+    def limit(self, limits: CallerLimits) -> None:
+        """Put limits in force for new connections."""
+        self.options["keepalive_timeout"] = limits.idle_seconds
+        self.options["max_line_size"] = limits.header_bytes
+        self.options["max_field_size"] = limits.header_bytes
+
     def __call__(self) -> CallersProtocol:
         """Return the protocol of a new connection."""
-        return CallersProtocol(self, loop=asyncio.get_running_loop(), **self.options)
+        protocol = CallersProtocol(self, loop=asyncio.get_running_loop(), **self.options)
+        protocol.dialect = self.dialect
+        return protocol
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -14,11 +14,14 @@
 # Imported for their handlers.
 from medlarpass_daemon.entry.callers import download_flow  # noqa: F401
 from medlarpass_daemon.entry.callers import enquiry_flow  # noqa: F401
-from medlarpass_daemon.entry.callers import headers
 from medlarpass_daemon.entry.callers import order_flow  # noqa: F401
 from medlarpass_daemon.entry.callers.callers_protocol import CallersListener
-from medlarpass_daemon.entry.callers.error_response import error_response
+from medlarpass_daemon.entry.callers.callers_protocol import CallersProtocol
+from medlarpass_daemon.entry.callers.dialect import OwnDialect
+from medlarpass_daemon.entry.callers.error_response import outcome_of
+from medlarpass_daemon.entry.callers.events import REQUEST_ENDED
 from medlarpass_daemon.entry.callers.events import UNEXPECTED_ERROR
+from medlarpass_daemon.entry.callers.exceptions import CallerGoneError
 from medlarpass_daemon.entry.callers.flow import handle
 from medlarpass_daemon.entry.callers.metrics import CallersMetrics
 from medlarpass_daemon.entry.callers.request_path import RequestPath
@@ -26,6 +29,9 @@
 
 if TYPE_CHECKING:
     from medlarpass import Clock
+    from medlarpass.publication import CallerLimits
+    from medlarpass_daemon.entry.callers.caller_request import CallerRequest
+    from medlarpass_daemon.entry.callers.dialect import Dialect
     from medlarpass_daemon.entry.callers.interfaces import OrderClaims
     from medlarpass_daemon.entry.callers.interfaces import OwnerDirectory
     from medlarpass_daemon.entry.callers.interfaces import PeerLoads
@@ -50,6 +56,7 @@
     :param peer_loads: in-flight requests told by peers
     :param clock: source of time; counts suspended time
     :param metrics: metrics of the request path, the process's own by default
+    :param dialect: headers and answers of the deployment, medlarpass's own by default
     """
 
     __slots__ = (
@@ -74,6 +81,7 @@
         peer_loads: PeerLoads,
         clock: Clock,
         metrics: CallersMetrics | None = None,
+        dialect: Dialect | None = None,
     ) -> None:
         if settings.entry is None:
             raise ValueError("the settings have no role entry")
@@ -81,7 +89,15 @@
         self.clock = clock
         self.metrics = metrics or CallersMetrics()
         self.path = RequestPath(
-            settings.entry, routing, owners, servers, claims, peer_loads, clock, self.metrics
+            settings.entry,
+            routing,
+            owners,
+            servers,
+            claims,
+            peer_loads,
+            clock,
+            self.metrics,
+            dialect or OwnDialect(),
         )
         self.metrics.queued.set_function(lambda: self.path.admission.queued)
         #: Requests whose answer has not been written as a whole.
@@ -96,11 +112,23 @@
     async def start(self) -> None:
         """Start to accept callers."""
         loop = asyncio.get_running_loop()
-        self.listener = CallersListener(self._answer, self.settings.buffer)
+        self.listener = CallersListener(self._answer, self.settings.buffer, self.path.dialect)
         address = self.settings.callers
         self.server = await loop.create_server(self.listener, address.ip, address.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def limit_callers(self, limits: CallerLimits) -> None:
+        """Put limits for callers in force; open connections keep the ones they began with.
+
+        :param limits: limits of a publication
+        """
+        if self.listener is not None:
+            self.listener.limit(limits)
+
+    def announce_stop(self) -> None:
+        """Let callers leave: each answer from now on ends its connection."""
+        self.path.is_draining = True
+
     def stop_accepting(self) -> None:
         """Close the listening socket; requests on open connections are still answered."""
         self.path.is_draining = True
@@ -149,12 +177,12 @@
             if connection in self.active:
                 continue
             if connection in before:
-                connection.force_close()
+                connection.leave()
             idle.add(connection)
         return idle
 
-    def _connections(self) -> list[web.RequestHandler]:
-        return self.listener.connections if self.listener is not None else []
+    def _connections(self) -> list[CallersProtocol]:
+        return self.listener.protocols() if self.listener is not None else []
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         protocol = request.protocol
@@ -178,9 +206,11 @@
 
     async def _respond(self, web_request: web.BaseRequest) -> web.StreamResponse:
         started_at = self.clock.now()
-        request_id = headers.request_id_of(web_request.headers)
+        dialect = self.path.dialect
+        request_id = dialect.request_id_of(web_request.headers)
         request = None
         outcome = Outcome.UNKNOWN
+        code: str | None = None
         try:
             request = read_request(web_request, request_id, self.path)
             response = await handle(request, self.path)
@@ -189,17 +219,44 @@
             return response
         except ConnectionError:
             # The caller is gone; the response only ends the handling of its connection.
+            code = CallerGoneError.code
             return web.Response(status=499)
         except Exception as error:
             known = _known(error, request_id)
+            code = known.code
             may_have_run = request is not None and request.may_have_run
             self.metrics.refusals.labels(known.code).inc()
-            response = error_response(known, request_id, may_have_run)
-            outcome = Outcome(response.headers[headers.OUTCOME])
-            return response
+            outcome = outcome_of(known, may_have_run)
+            return dialect.error_response(known, request_id, may_have_run)
         finally:
             route = request.route.name if request is not None else NO_ROUTE
-            self.metrics.request_ended(route, outcome, self.clock.now() - started_at)
+            seconds = self.clock.now() - started_at
+            self.metrics.request_ended(route, outcome, seconds)
+            if outcome is not Outcome.RUN or (request is not None and request.attempts > 1):
+                self._log_end(request_id, request, outcome, code, seconds)
+
+    def _log_end(
+        self,
+        request_id: str,
+        request: CallerRequest | None,
+        outcome: Outcome,
+        code: str | None,
+        seconds: float,
+    ) -> None:
+        """Log a request that did not simply succeed at its first server."""
+        target = request.target if request is not None else None
+        REQUEST_ENDED.log(
+            request_id=request_id,
+            route=request.route.name if request is not None else None,
+            pool=request.pool.name if request is not None else None,
+            key=request.owned_key if request is not None else None,
+            attempts=request.attempts if request is not None else 0,
+            server=target.identity if target is not None else None,
+            revision=self.path.routing.revision,
+            code=code,
+            outcome=outcome.value,
+            seconds=round(seconds, 4),
+        )
 
 
 def _known(error: Exception, request_id: str) -> MedlarpassError:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/connector.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/connector.py
@@ -4,9 +4,14 @@
 
 import asyncio
 
+from functools import partial
 from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
 
+from aiohttp import ClientPayloadError
 from aiohttp import TCPConnector
+from aiohttp.client_proto import ResponseHandler
 
 from medlarpass_daemon.entry.callers.exceptions import AnswerLostError
 
@@ -18,8 +23,34 @@
     from medlarpass_daemon.entry.callers.exchange import Exchange
 
 
+class ServerProtocol(ResponseHandler):
+    """Tells the reset of a connection from its end.
+
+    The end of a connection may be that of an answer without a length; after a reset a part of
+    the answer is missing.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Mark an answer that a reset cut off."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"the connection was reset: {exc!r}"))
+        super().connection_lost(exc)
+
+
 class OneShotConnector(TCPConnector):
-    """Hands out one connection per exchange, so that a request is never sent again."""
+    """Hands out one connection per exchange, so that a request is never sent again.
+
+    :param options: options of ``TCPConnector``
+    """
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        # The base class makes protocols through this function only.
+        self._factory = cast(
+            "partial[ResponseHandler]",
+            partial(ServerProtocol, loop=asyncio.get_running_loop()),
+        )
 
     #: Exchanges that have a connection.
     in_use = 0
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/dialect.py
@@ -0,0 +1,147 @@
+"""Headers and answers between callers, entries and servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from medlarpass import Outcome
+from medlarpass_daemon.entry.callers import headers
+from medlarpass_daemon.entry.callers.error_response import error_response
+from medlarpass_daemon.entry.callers.exceptions import CrossedAnswerError
+from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
+
+if TYPE_CHECKING:
+    from aiohttp import web
+    from multidict import CIMultiDict
+    from multidict import CIMultiDictProxy
+
+    from medlarpass import MedlarpassError
+    from medlarpass_daemon.entry.callers.interfaces import Target
+
+
+class Dialect(Protocol):
+    """What callers and servers of a deployment speak."""
+
+    @property
+    def accepts_unframed(self) -> bool:
+        """Whether the end of a connection may delimit a server's answer."""
+        ...
+
+    @property
+    def counts_reroutes(self) -> bool:
+        """Whether an attempt that a server refused for a key that moved counts as a retry."""
+        ...
+
+    def request_id_of(self, received: CIMultiDictProxy[str]) -> str:
+        """Return the caller's request id, or a new one."""
+        ...
+
+    def deadline_of(self, received: CIMultiDictProxy[str]) -> float | None:
+        """Return the caller's own deadline in seconds, if it gave one.
+
+        :raises InvalidHeaderError: when it is not valid
+        """
+        ...
+
+    def idempotency_key_of(self, received: CIMultiDictProxy[str]) -> str | None:
+        """Return the idempotency key, if there is one.
+
+        :raises InvalidHeaderError: when it is not valid
+        """
+        ...
+
+    def to_server(
+        self,
+        received: CIMultiDictProxy[str],
+        request_id: str,
+        caller: str,
+        scheme: str,
+        target: Target,
+    ) -> CIMultiDict[str]:
+        """Return the headers of a request to a server."""
+        ...
+
+    def set_deadline(self, sent: CIMultiDict[str], seconds: float) -> None:
+        """Tell a server how much time is left."""
+        ...
+
+    def check_answer(self, status: int, received: CIMultiDictProxy[str], request_id: str) -> None:
+        """Check that the headers are those of a server's answer to a request.
+
+        :raises CrossedAnswerError: the answer belongs to another request
+        :raises ServerRefusedError: the server did not run the request
+        :raises AnswerLostError: this is no answer of a server
+        """
+        ...
+
+    def to_caller(self, received: CIMultiDictProxy[str], request_id: str) -> CIMultiDict[str]:
+        """Return the headers of an answer to a caller."""
+        ...
+
+    def error_response(
+        self, error: MedlarpassError, request_id: str, may_have_run: bool = False
+    ) -> web.Response:
+        """Return the answer for an error.
+
+        :param may_have_run: whether an earlier attempt of the request may have run
+        """
+        ...
+
+
+class OwnDialect:
+    """The interface that ``docs/server-interface.md`` describes."""
+
+    __slots__ = ()
+
+    accepts_unframed = False
+    counts_reroutes = False
+
+    def request_id_of(self, received: CIMultiDictProxy[str]) -> str:
+        """See :class:`Dialect`."""
+        return headers.request_id_of(received)
+
+    def deadline_of(self, received: CIMultiDictProxy[str]) -> float | None:
+        """See :class:`Dialect`."""
+        return headers.deadline_of(received)
+
+    def idempotency_key_of(self, received: CIMultiDictProxy[str]) -> str | None:
+        """See :class:`Dialect`."""
+        return headers.idempotency_key_of(received)
+
+    def to_server(
+        self,
+        received: CIMultiDictProxy[str],
+        request_id: str,
+        caller: str,
+        scheme: str,
+        target: Target,
+    ) -> CIMultiDict[str]:
+        """See :class:`Dialect`."""
+        passed = headers.to_server(received, request_id, caller, scheme)
+        if target.shard is not None and target.fence is not None:
+            passed[headers.SHARD] = str(target.shard)
+            passed[headers.FENCE] = str(target.fence)
+        return passed
+
+    def set_deadline(self, sent: CIMultiDict[str], seconds: float) -> None:
+        """See :class:`Dialect`."""
+        sent[headers.DEADLINE] = str(max(int(seconds * 1000), 1))
+
+    def check_answer(self, status: int, received: CIMultiDictProxy[str], request_id: str) -> None:
+        """See :class:`Dialect`."""
+        echoed = received.get(headers.REQUEST_ID)
+        if echoed is not None and echoed != request_id:
+            raise CrossedAnswerError("the answer belongs to another request")
+        if received.get(headers.OUTCOME) == Outcome.NOT_RUN.value:
+            raise ServerRefusedError(received.get(headers.REFUSAL, "no reason given"))
+
+    def to_caller(self, received: CIMultiDictProxy[str], request_id: str) -> CIMultiDict[str]:
+        """See :class:`Dialect`."""
+        return headers.to_caller(received, request_id)
+
+    def error_response(
+        self, error: MedlarpassError, request_id: str, may_have_run: bool = False
+    ) -> web.Response:
+        """See :class:`Dialect`."""
+        return error_response(error, request_id, may_have_run)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/error_response.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/error_response.py
@@ -15,6 +15,16 @@
 UNAVAILABLE = 503
 
 
+def outcome_of(error: MedlarpassError, may_have_run: bool) -> Outcome:
+    """Return what is known about the execution of a request that ends with an error.
+
+    :param may_have_run: whether an earlier attempt of the request may have run
+    """
+    if may_have_run and error.outcome is Outcome.NOT_RUN:
+        return Outcome.UNKNOWN
+    return error.outcome
+
+
 def error_response(
     error: MedlarpassError, request_id: str, may_have_run: bool = False
 ) -> web.Response:
@@ -23,9 +33,7 @@
     :param request_id: id of the request
     :param may_have_run: whether an earlier attempt of the request may have run
     """
-    outcome = error.outcome
-    if may_have_run and outcome is Outcome.NOT_RUN:
-        outcome = Outcome.UNKNOWN
+    outcome = outcome_of(error, may_have_run)
     document = {
         "code": error.code,
         "message": error.message,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/events.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/events.py
@@ -6,4 +6,6 @@
 
 UNEXPECTED_ERROR = Event(4100, "request_failed_unexpectedly")
 CLAIM_UPDATE_DELAYED = Event(4101, "claim_update_delayed")
+REQUEST_ENDED = Event(4110, "request_ended")
+ATTEMPT_FAILED = Event(4111, "attempt_failed")
 ANSWER_ABORTED = Event(4102, "answer_aborted")
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -60,6 +60,20 @@
     outcome = Outcome.UNKNOWN
 
 
+class RoutesUnknownError(CallerError):
+    """This entry has not learned any routes yet."""
+
+    code = "routes_unknown"
+    http_status = 503
+
+
+class ServersBusyError(CallerError):
+    """All servers that may run the request had no room for too long."""
+
+    code = "servers_busy"
+    http_status = 503
+
+
 class ServerUnreachableError(CallerError):
     """No connection to the server could be opened."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exchange.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exchange.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from medlarpass_daemon.entry.callers import headers
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 
 if TYPE_CHECKING:
@@ -14,6 +13,7 @@
     from multidict import CIMultiDict
 
     from medlarpass import Clock
+    from medlarpass_daemon.entry.callers.dialect import Dialect
     from medlarpass_daemon.entry.callers.interfaces import Target
 
 
@@ -29,6 +29,7 @@
     :param deadline: reading of the clock when the answer is due
     :param clock: source of time
     :param check: raises an error when the request must no longer be sent
+    :param dialect: headers of the deployment
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "check",
         "clock",
         "deadline",
+        "dialect",
         "has_connection",
         "headers",
         "is_unsent",
@@ -56,6 +58,7 @@
         deadline: float,
         clock: Clock,
         check: Callable[[], None],
+        dialect: Dialect,
     ) -> None:
         self.target = target
         self.method = method
@@ -66,6 +69,7 @@
         self.deadline = deadline
         self.clock = clock
         self.check = check
+        self.dialect = dialect
         #: A connection was handed over for sending, so a second one would be a resend.
         self.has_connection = False
         #: The attempt ended while it had no connection: proof that no byte left. Everything that
@@ -90,4 +94,4 @@
         remaining = self.remaining
         if remaining <= 0:
             raise DeadlineExceededError("the deadline passed before the request was sent")
-        sent[headers.DEADLINE] = str(max(int(remaining * 1000), 1))
+        self.dialect.set_deadline(sent, remaining)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/headers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/headers.py
@@ -149,7 +149,7 @@
     """Return the headers without hop-by-hop ones and control headers of medlarpass."""
     removed: frozenset[str] = HOP_BY_HOP
     if "Connection" in headers:
-        removed = HOP_BY_HOP | _named(headers.getall("Connection"))
+        removed = HOP_BY_HOP | named_in(headers.getall("Connection"))
     passed: CIMultiDict[str] = CIMultiDict()
     for name, value in headers.items():
         if _is_end_to_end(name, removed):
@@ -163,7 +163,8 @@
     return lower not in removed and not lower.startswith(CONTROL_PREFIX)
 
 
-def _named(values: Iterable[str]) -> frozenset[str]:
+def named_in(values: Iterable[str]) -> frozenset[str]:
+    """Return the names that ``Connection`` headers list, without those it may not remove."""
     names = {name.strip().lower() for value in values for name in value.split(",")}
     return frozenset(names - PROTECTED)
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/interfaces.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/interfaces.py
@@ -13,7 +13,7 @@
 
     from medlarpass.rpc import control_pb2
     from medlarpass.tables import Pool
-    from medlarpass.tables import RouteMatcher
+    from medlarpass.tables import Route
 
 
 class Target(Value):
@@ -61,11 +61,22 @@
         self.fence = fence
 
 
+class Matcher(Protocol):
+    """Finds the route of a request."""
+
+    def find(self, host: str, path: str, method: str) -> Route:
+        """Return the route of a request.
+
+        :raises RouteNotFoundError: when no route matches
+        """
+        ...
+
+
 class RoutingTable(Protocol):
     """The configuration in force."""
 
     @property
-    def matcher(self) -> RouteMatcher:
+    def matcher(self) -> Matcher:
         """Routes, for matching."""
         ...
 
@@ -74,6 +85,10 @@
         """Pools by name."""
         ...
 
+    def pool_of(self, route: Route) -> Pool:
+        """Return the pool that gets the next request of a route."""
+        ...
+
     @property
     def revision(self) -> int:
         """Revision of the configuration; only increases."""
@@ -90,6 +105,11 @@
         """
         ...
 
+    @property
+    def ends_lost_attempts(self) -> bool:
+        """Whether an answer is of no use once its server has lost the key."""
+        ...
+
     def is_current(self, pool: Pool, key: str, target: Target) -> bool:
         """Return whether the target still owns the key under the same fence."""
         ...
@@ -149,10 +169,11 @@
 class PeerLoads(Protocol):
     """In-flight requests of the other entries of the domain."""
 
-    def in_flight(self, server: str, now: float) -> float:
+    def in_flight(self, server: str, now: float, memory: float | None = None) -> float:
         """Return the peers' requests in flight at a server.
 
         :param server: identity of the server
         :param now: reading of the clock
+        :param memory: seconds for which a report counts in full, None for the default
         """
         ...
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/order_flow.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/order_flow.py
@@ -58,7 +58,7 @@
 
 
 async def _run(request: OrderRequest, path: RequestPath) -> web.StreamResponse:
-    key = headers.idempotency_key_of(request.web.headers)
+    key = path.dialect.idempotency_key_of(request.web.headers)
     # Until the ledger has answered, an earlier request with the same key may have run the order.
     request.may_have_run = key is not None
     state = await path.admission.enter(request.route, request.deadline)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 from typing import TYPE_CHECKING
@@ -17,6 +18,7 @@
 from medlarpass.dispatch import LimiterSettings
 from medlarpass.dispatch import NoServerError
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
 from medlarpass_daemon.entry.callers.loop_lag import RESOLUTION
 from medlarpass_daemon.entry.callers.loop_lag import LoopLag
 from medlarpass_daemon.entry.callers.place import Place
@@ -41,12 +43,15 @@
 
     :param peer_loads: in-flight requests told by peers
     :param clock: source of time
+    :param longest_wait: seconds that a request waits for room at most; the deadline alone bounds
+        it by default
     """
 
-    __slots__ = ("balancer", "clock", "ejector", "lag", "limiters", "waiting")
+    __slots__ = ("balancer", "clock", "ejector", "lag", "limiters", "longest_wait", "waiting")
 
-    def __init__(self, peer_loads: PeerLoads, clock: Clock) -> None:
+    def __init__(self, peer_loads: PeerLoads, clock: Clock, longest_wait: float = math.inf) -> None:
         self.clock = clock
+        self.longest_wait = longest_wait
         self.balancer = Balancer(BalancerSettings(), clock, random.Random())
         # The balancer only asks for the requests in flight.
         self.balancer.peers = cast("ReportedLoads", peer_loads)
@@ -64,8 +69,10 @@
         :param tried: identities that earlier attempts used; avoided while there are others
         :raises NoServerError: when there is no candidate
         :raises DeadlineExceededError: when the deadline passed during the wait
+        :raises ServersBusyError: when the longest wait is over
         """
         has_waited = False
+        wait_until = self.clock.now() + self.longest_wait
         while True:
             targets = candidates()
             if not targets:
@@ -76,7 +83,10 @@
             remaining = deadline - self.clock.now()
             if remaining <= 0:
                 raise DeadlineExceededError("the deadline passed while all servers were busy")
-            longest = min(remaining, self._look_again(targets))
+            rest = wait_until - self.clock.now()
+            if rest <= 0:
+                raise ServersBusyError("all servers that may run the request are busy")
+            longest = min(remaining, rest, self._look_again(targets))
             await self._wait([target.identity for target in targets], longest)
             has_waited = True
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/relay.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/relay.py
@@ -12,7 +12,6 @@
 from aiohttp import web
 
 from medlarpass import MedlarpassError
-from medlarpass_daemon.entry.callers import headers
 from medlarpass_daemon.entry.callers.events import ANSWER_ABORTED
 from medlarpass_daemon.entry.callers.exceptions import DeadlineOutcomeUnknownError
 
@@ -34,7 +33,7 @@
     When the body breaks off, the caller's connection is aborted, so that the part is not taken
     for the whole.
     """
-    response = response_for(request, delivery)
+    response = response_for(path, request, delivery)
     if delivery.answer.is_complete:
         delivery.place.finished(delivery.answer.status)
         return response
@@ -52,10 +51,12 @@
     return response
 
 
-def response_for(request: CallerRequest, delivery: Delivery) -> web.StreamResponse:
+def response_for(
+    path: RequestPath, request: CallerRequest, delivery: Delivery
+) -> web.StreamResponse:
     """Return the response to the caller; it has its body if the answer is complete."""
     answer = delivery.answer
-    passed = headers.to_caller(answer.headers, request.request_id)
+    passed = path.dialect.to_caller(answer.headers, request.request_id)
     if answer.is_complete and delivery.data:
         return web.Response(
             status=answer.status,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
@@ -16,6 +16,7 @@
     from collections.abc import Set
 
     from medlarpass import Clock
+    from medlarpass_daemon.entry.callers.dialect import Dialect
     from medlarpass_daemon.entry.callers.interfaces import OrderClaims
     from medlarpass_daemon.entry.callers.interfaces import OwnerDirectory
     from medlarpass_daemon.entry.callers.interfaces import PeerLoads
@@ -36,6 +37,7 @@
     :param peer_loads: in-flight requests told by peers
     :param clock: source of time
     :param metrics: metrics of the request path
+    :param dialect: headers and answers of the deployment
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "claims",
         "client",
         "clock",
+        "dialect",
         "is_draining",
         "metrics",
         "orders",
@@ -65,6 +68,7 @@
         peer_loads: PeerLoads,
         clock: Clock,
         metrics: CallersMetrics,
+        dialect: Dialect,
     ) -> None:
         self.settings = settings
         self.routing = routing
@@ -73,8 +77,9 @@
         self.claims = claims
         self.clock = clock
         self.metrics = metrics
+        self.dialect = dialect
         self.admission = Admission(settings.concurrency, clock)
-        self.places = ServerPlaces(peer_loads, clock)
+        self.places = ServerPlaces(peer_loads, clock, settings.place_wait)
         self.client = ServerClient(settings)
         self.recorder = ClaimRecorder(claims)
         self.owner_watch = OwnerWatch()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_reader.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_reader.py
@@ -37,8 +37,8 @@
     route = path.routing.matcher.find(
         _host(web.headers.get("Host", "")), _joined(raw_path, segments), web.method
     )
-    pool = path.routing.pools[route.pool]
-    own = headers.deadline_of(web.headers)
+    pool = path.routing.pool_of(route)
+    own = path.dialect.deadline_of(web.headers)
     allowed = route.deadline if own is None else min(route.deadline, own)
     return REQUEST_TYPES[route.request_class](
         web,
@@ -46,7 +46,7 @@
         target,
         route,
         pool,
-        _key(web, route, segments, query),
+        _key(web, route, segments, query) if pool.owned or not route.is_key_optional else None,
         path.clock.now() + allowed,
         CallerBody(web, _limit(route, path)),
         path.clock,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
@@ -11,13 +11,10 @@
 from yarl import URL
 
 from medlarpass import MedlarpassError
-from medlarpass import Outcome
 from medlarpass.dispatch import ConnectionBudget
-from medlarpass_daemon.entry.callers import headers
 from medlarpass_daemon.entry.callers.answer import Answer
 from medlarpass_daemon.entry.callers.connector import OneShotConnector
 from medlarpass_daemon.entry.callers.exceptions import AnswerLostError
-from medlarpass_daemon.entry.callers.exceptions import CrossedAnswerError
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.exceptions import DeadlineOutcomeUnknownError
 from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
@@ -55,7 +52,7 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
-        self.budget = ConnectionBudget(len(settings.peers))
+        self.budget = ConnectionBudget(max(len(settings.peers), 1))
         self.connectors: dict[str, tuple[Address, OneShotConnector]] = {}
         self.closing: set[asyncio.Task[None]] = set()
 
@@ -188,15 +185,15 @@
     An answer that only the end of the connection delimits looks the same when the server is
     killed in the middle of it.
     """
-    echoed = response.headers.get(headers.REQUEST_ID)
-    if echoed is not None and echoed != exchange.request_id:
-        response.close()
-        raise CrossedAnswerError("the answer belongs to another request")
-    if response.headers.get(headers.OUTCOME) == Outcome.NOT_RUN.value:
-        refusal = response.headers.get(headers.REFUSAL, "no reason given")
+    try:
+        exchange.dialect.check_answer(response.status, response.headers, exchange.request_id)
+    except ServerRefusedError:
         response.release()
-        raise ServerRefusedError(refusal)
-    if not _is_framed(response):
+        raise
+    except MedlarpassError:
+        response.close()
+        raise
+    if not exchange.dialect.accepts_unframed and not _is_framed(response):
         response.close()
         raise AnswerLostError("the answer has neither a length nor chunks")
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/configuration_store.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/configuration_store.py
@@ -28,6 +28,10 @@
         """Revision in force; 0 before the first configuration."""
         return self.configuration.revision
 
+    def pool_of(self, route: Route) -> Pool:
+        """Return the pool of a route."""
+        return self.pools[route.pool]
+
     def offer(self, configuration: control_pb2.Configuration) -> bool:
         """Put a configuration in force if it is newer.
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
@@ -143,6 +143,8 @@
     """
 
     __slots__ = ("change", "grants", "loads", "registry", "targets", "views")
+    #: A server that lost its session may answer with what another owner has changed since.
+    ends_lost_attempts = True
 
     def __init__(
         self,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
@@ -151,6 +151,10 @@
         await self.servers.start()
         await self.callers.start()
 
+    def announce_stop(self) -> None:
+        """Let callers leave before the listener closes."""
+        self.callers.announce_stop()
+
     async def finish(self) -> None:
         """Hand over the lease and finish all requests in flight."""
         self.callers.stop_accepting()
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/events.py
@@ -0,0 +1,12 @@
+"""Log events of an entry that follows control."""
+
+from __future__ import annotations
+
+from medlarpass import Event
+
+WATCH_LOST = Event(5100, "fleet_lost")
+WATCH_REGAINED = Event(5101, "fleet_regained")
+PUBLICATION_IN_FORCE = Event(5102, "publication_in_force")
+SERVER_LEARNED = Event(5103, "server_learned")
+SERVER_DROPPED = Event(5104, "server_dropped")
+RANGES_LEARNED = Event(5105, "ranges_learned")
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -0,0 +1,142 @@
+"""Everything that a process with the role entry runs when it follows control."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+from medlarpass_daemon.entry.callers import CallersServer
+from medlarpass_daemon.entry.callers.metrics import CallersMetrics
+from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
+from medlarpass_daemon.entry.fleet.fleet_servers import FleetServers
+from medlarpass_daemon.entry.fleet.fleet_watcher import FleetWatcher
+from medlarpass_daemon.entry.fleet.key_loads import KeyLoads
+from medlarpass_daemon.entry.fleet.no_claims import NoClaims
+from medlarpass_daemon.entry.fleet.no_peers import NoPeers
+from medlarpass_daemon.supervision import supervise
+
+if TYPE_CHECKING:
+    import grpc
+
+    from medlarpass import Clock
+    from medlarpass.rpc import fleet_pb2
+    from medlarpass_daemon.observability import Metrics
+    from medlarpass_daemon.observability import Readiness
+    from medlarpass_daemon.rpc_channels import RpcChannels
+    from medlarpass_daemon.seeds import Seeds
+    from medlarpass_daemon.settings import DaemonSettings
+    from medlarpass_daemon.settings import EntrySettings
+
+#: Reason against readiness until the first publication is in force.
+NO_PUBLICATION = "no_publication"
+#: Seconds between two looks for servers that left, whose state only takes memory.
+DROP_INTERVAL = 10.0
+
+
+class FleetEntryRole:
+    """The request path with what the control leader tells.
+
+    :param settings: settings of the process, with the section ``fleet``
+    :param entry: settings of the role
+    :param channels: gRPC channels
+    :param readiness: reasons why callers must not be sent here
+    :param metrics: metrics of the process
+    :param clock: clock of this process
+    :param seeds: addresses of control to begin with
+    """
+
+    __slots__ = (
+        "callers",
+        "metrics",
+        "readiness",
+        "routing",
+        "servers",
+        "settings",
+        "tasks",
+        "watcher",
+    )
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        entry: EntrySettings,
+        channels: RpcChannels,
+        readiness: Readiness,
+        metrics: Metrics,
+        clock: Clock,
+        seeds: Seeds,
+    ) -> None:
+        assert settings.fleet is not None
+        self.settings = settings
+        self.readiness = readiness
+        self.metrics = metrics
+        loads = KeyLoads()
+        self.routing = FleetRouting()
+        self.servers = FleetServers(self.routing, loads)
+        self.watcher = FleetWatcher(
+            settings, seeds, self._apply, lambda: self.routing.revision, loads, channels, clock
+        )
+        self.callers = CallersServer(
+            settings,
+            self.routing,
+            self.servers,
+            self.servers,
+            NoClaims(),
+            NoPeers(),
+            clock,
+            CallersMetrics(metrics.registry),
+            settings.fleet.load_adapter().dialect,
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def add_services(self, server: grpc.aio.Server) -> None:
+        """Add no service: control and the other entries do not call this role."""
+
+    async def start(self) -> None:
+        """Start all tasks and listeners."""
+        self.readiness.block(NO_PUBLICATION, "no publication from control yet")
+        runs = {
+            "fleet watcher": self.watcher.run,
+            "fleet reports": self.watcher.report,
+            "departed servers": self._drop_departed,
+        }
+        self.tasks = [asyncio.create_task(supervise(name, run)) for name, run in runs.items()]
+        await self.callers.start()
+
+    def announce_stop(self) -> None:
+        """Let callers leave before the listener closes."""
+        self.callers.announce_stop()
+
+    async def finish(self) -> None:
+        """Finish all requests in flight."""
+        self.callers.stop_accepting()
+        await self.callers.finish(self.settings.stop.finish_within)
+
+    async def stop(self) -> None:
+        """Stop the remaining tasks."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _apply(self, update: fleet_pb2.FleetUpdate) -> None:
+        if update.HasField("publication") and self.routing.offer(update.publication):
+            publication = self.routing.publication
+            assert publication is not None
+            self.callers.limit_callers(publication.limits)
+            self.metrics.configuration_revision.set(self.routing.revision)
+            self.servers.targets.clear()
+        self.callers.path.client.budget.entries_seen(self.watcher.entries)
+        self.servers.apply(update)
+        if self.routing.revision:
+            self.readiness.clear(NO_PUBLICATION)
+
+    async def _drop_departed(self) -> None:
+        while True:
+            await asyncio.sleep(DROP_INTERVAL)
+            routes = (
+                {route.name for route in self.routing.publication.routes}
+                if (self.routing.publication)
+                else set()
+            )
+            self.callers.path.retain(set(self.servers.servers), routes)
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
@@ -0,0 +1,90 @@
+"""Routes and pools in force at an entry that follows control."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from typing import TYPE_CHECKING
+
+from medlarpass.publication import PrefixMatcher
+from medlarpass.publication import Publication
+from medlarpass.publication import PublishedRoute
+from medlarpass_daemon.entry.callers.exceptions import RoutesUnknownError
+from medlarpass_daemon.entry.fleet.events import PUBLICATION_IN_FORCE
+from medlarpass_daemon.entry.fleet.weighted_choice import WeightedChoice
+
+if TYPE_CHECKING:
+    from medlarpass.publication import PublishedPool
+    from medlarpass.rpc import control_pb2
+    from medlarpass.tables import Pool
+    from medlarpass.tables import Route
+
+
+class NothingPublished:
+    """Matcher of an entry that knows no routes yet; an unknown route is not a wrong one."""
+
+    __slots__ = ()
+
+    def find(self, host: str, path: str, method: str) -> PublishedRoute:
+        """Refuse the request for now.
+
+        :raises RoutesUnknownError: always
+        """
+        raise RoutesUnknownError("this entry knows no routes yet")
+
+
+class FleetRouting:
+    """Newest publication this entry has seen; an older one never replaces it."""
+
+    __slots__ = ("changed", "choices", "matcher", "pools", "publication")
+
+    def __init__(self) -> None:
+        self.publication: Publication | None = None
+        self.matcher: PrefixMatcher | NothingPublished = NothingPublished()
+        self.pools: dict[str, PublishedPool] = {}
+        self.choices: dict[str, WeightedChoice] = {}
+        #: Set when a publication is in force.
+        self.changed = asyncio.Event()
+
+    @property
+    def revision(self) -> int:
+        """Version in force; 0 before the first publication."""
+        return self.publication.version if self.publication is not None else 0
+
+    def pool_of(self, route: Route) -> Pool:
+        """Return the pool that gets the next request of a route."""
+        choice = self.choices.get(route.name)
+        return self.pools[choice.next() if choice is not None else route.pool]
+
+    def offer(self, message: control_pb2.Publish) -> bool:
+        """Put a publication in force if it is newer, and return whether it was."""
+        if message.version <= self.revision:
+            return False
+        publication = Publication.from_json(message.document)
+        self.publication = publication
+        self.pools = publication.pools
+        self.matcher = publication.matcher
+        self.choices = self._choices(publication)
+        PUBLICATION_IN_FORCE.log(version=publication.version, routes=len(publication.routes))
+        self.changed.set()
+        return True
+
+    def _choices(self, publication: Publication) -> dict[str, WeightedChoice]:
+        """Return the choices of split routes; one whose shares stay keeps its credits."""
+        choices: dict[str, WeightedChoice] = {}
+        for route in publication.routes:
+            if len(route.shares) < 2:
+                continue
+            known = self.choices.get(route.name)
+            if known is not None and known.route.shares == route.shares:
+                choices[route.name] = known
+            else:
+                choices[route.name] = WeightedChoice(route, random.random())
+        return choices
+
+
+def route_of(route: Route) -> PublishedRoute:
+    """Return a route of a publication as such."""
+    assert isinstance(route, PublishedRoute)
+    return route
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
@@ -0,0 +1,188 @@
+"""Servers and owners of keys at an entry that follows control."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bisect import bisect_right
+from typing import TYPE_CHECKING
+
+from medlarpass.rpc import fleet_pb2
+from medlarpass_daemon.entry.callers import NoOwnerError
+from medlarpass_daemon.entry.callers.exceptions import InvalidHeaderError
+from medlarpass_daemon.entry.callers.interfaces import Target
+from medlarpass_daemon.entry.fleet.events import RANGES_LEARNED
+from medlarpass_daemon.entry.fleet.events import SERVER_DROPPED
+from medlarpass_daemon.entry.fleet.events import SERVER_LEARNED
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from medlarpass.tables import Pool
+    from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
+    from medlarpass_daemon.entry.fleet.key_loads import KeyLoads
+
+LARGEST_KEY = 65_535
+RETIRED = fleet_pb2.SERVER_PHASE_RETIRED
+HELD = fleet_pb2.RANGE_PHASE_HELD
+
+
+class PoolRanges:
+    """Ranges of one pool in the order of their keys."""
+
+    __slots__ = ("firsts", "ranges")
+
+    def __init__(self) -> None:
+        self.firsts: list[int] = []
+        self.ranges: list[fleet_pb2.FleetRange] = []
+
+    def add(self, found: fleet_pb2.FleetRange) -> None:
+        """Add a range; ranges come in any order and never overlap."""
+        place = bisect_right(self.firsts, found.assignment.first)
+        self.firsts.insert(place, found.assignment.first)
+        self.ranges.insert(place, found)
+
+    def find(self, key: int) -> fleet_pb2.FleetRange | None:
+        """Return the range of a key."""
+        place = bisect_right(self.firsts, key) - 1
+        if place < 0 or self.ranges[place].assignment.last < key:
+            return None
+        return self.ranges[place]
+
+
+class FleetServers:
+    """What the leader has told about servers and ranges.
+
+    A life of a server that was retired stays so, whatever another leader says.
+
+    :param routing: routes and pools in force
+    :param loads: counts the requests of keys
+    """
+
+    __slots__ = ("change", "loads", "ranges", "routing", "servers", "targets")
+    #: A server answers only with what it ran while it held the key.
+    ends_lost_attempts = False
+
+    def __init__(self, routing: FleetRouting, loads: KeyLoads) -> None:
+        self.routing = routing
+        self.loads = loads
+        self.servers: dict[str, fleet_pb2.FleetServer] = {}
+        self.ranges: dict[str, PoolRanges] = {}
+        #: Usable servers by pool, built on first use after a change.
+        self.targets: dict[str, list[Target]] = {}
+        #: Replaced and set on each change.
+        self.change = asyncio.Event()
+
+    def apply(self, update: fleet_pb2.FleetUpdate) -> None:
+        """Take an update of the leader."""
+        if update.is_whole:
+            self._drop_others({server.identity for server in update.servers})
+        for server in update.servers:
+            self._learn(server)
+        if update.HasField("ranges"):
+            self._learn_ranges(update.ranges)
+        if update.is_whole or update.servers or update.HasField("ranges"):
+            self.targets.clear()
+            self.change.set()
+            self.change = asyncio.Event()
+
+    def usable(self, pool_name: str) -> Sequence[Target]:
+        """Return the servers that may get new work."""
+        targets = self.targets.get(pool_name)
+        if targets is None:
+            targets = [
+                self._target(server)
+                for server in self.servers.values()
+                if server.pool == pool_name and server.phase != RETIRED
+            ]
+            self.targets[pool_name] = targets
+        return targets
+
+    def owner_of(self, pool: Pool, key: str) -> Target:
+        """Return the server that holds a key.
+
+        :raises NoOwnerError: no server holds the key at present
+        :raises InvalidHeaderError: the key is no number in range
+        """
+        number = _number(key)
+        self.loads.count(pool.name, number)
+        found = self._range_of(pool, number)
+        if found is None or found.phase != HELD:
+            raise NoOwnerError(f"no server of pool {pool.name} holds the key at present")
+        server = self.servers.get(found.assignment.identity)
+        if server is None or server.life != found.assignment.life:
+            raise NoOwnerError(f"the address of {found.assignment.identity} is not known yet")
+        return self._target(server, found.assignment.fence)
+
+    def is_current(self, pool: Pool, key: str, target: Target) -> bool:
+        """Return whether the target still holds the key under the same fence."""
+        found = self._range_of(pool, _number(key))
+        return (
+            found is not None
+            and found.phase == HELD
+            and found.assignment.fence == target.fence
+            and found.assignment.identity == target.identity
+        )
+
+    async def wait_for_change(self, timeout: float) -> None:
+        """Return after the next change, or after ``timeout`` seconds."""
+        change = self.change
+        try:
+            async with asyncio.timeout(timeout):
+                await change.wait()
+        except TimeoutError:
+            return
+
+    def _range_of(self, pool: Pool, key: int) -> fleet_pb2.FleetRange | None:
+        ranges = self.ranges.get(pool.name)
+        return ranges.find(key) if ranges is not None else None
+
+    def _target(self, server: fleet_pb2.FleetServer, fence: int | None = None) -> Target:
+        pool = self.routing.pools.get(server.pool)
+        return Target(
+            server.identity,
+            server.life,
+            server.ip,
+            server.port,
+            server.slots,
+            pool.connections if pool is not None else server.slots,
+            None,
+            fence,
+        )
+
+    def _learn(self, server: fleet_pb2.FleetServer) -> None:
+        known = self.servers.get(server.identity)
+        if known is not None:
+            if known.life > server.life:
+                return
+            if known.life == server.life and known.phase == RETIRED:
+                return
+        self.servers[server.identity] = server
+        SERVER_LEARNED.log(
+            server=server.identity,
+            life=server.life,
+            pool=server.pool,
+            retired=server.phase == RETIRED,
+        )
+
+    def _drop_others(self, present: set[str]) -> None:
+        for identity in self.servers.keys() - present:
+            del self.servers[identity]
+            SERVER_DROPPED.log(server=identity)
+
+    def _learn_ranges(self, message: fleet_pb2.RangeSet) -> None:
+        ranges: dict[str, PoolRanges] = {}
+        for found in message.ranges:
+            ranges.setdefault(found.assignment.pool, PoolRanges()).add(found)
+        self.ranges = ranges
+        RANGES_LEARNED.log(
+            ranges=len(message.ranges),
+            moving=sum(found.phase != HELD for found in message.ranges),
+            newest_fence=max((found.assignment.fence for found in message.ranges), default=0),
+        )
+
+
+def _number(key: str) -> int:
+    if not key.isdecimal() or int(key) > LARGEST_KEY:
+        raise InvalidHeaderError(f"expected a key from 0 to {LARGEST_KEY}")
+    return int(key)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/servers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/servers_server.py
@@ -40,6 +40,8 @@
     def __init__(
         self, settings: DaemonSettings, entry: EntrySettings, gateway: ServerGateway
     ) -> None:
+        # The settings are checked: only a fleet has no listener for servers.
+        assert entry.servers is not None
         self.settings = settings
         self.entry = entry
         self.gateway = gateway
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/observability/log_writer.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/observability/log_writer.py
@@ -16,15 +16,18 @@
 import eliot
 
 from medlarpass_daemon.observability.events import LOG_LINES_DROPPED
+from medlarpass_daemon.settings.daemon import DEFAULT_LOG_RATE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-STANDARD_ERROR = "-"
-#: Lines that may wait while the disk or the reader of standard error is slow.
+STANDARD_OUTPUT = "-"
+#: Lines that may wait while the disk or the reader of standard output is slow.
 MAX_WAITING = 10_000
 #: Seconds that ``close`` waits for the lines that are still in the queue.
 CLOSE_TIMEOUT = 2.0
+#: Seconds of the rate that may be written at once, for example at a start.
+BURST = 4.0
 FILE_MODE = 0o640
 
 
@@ -35,28 +38,40 @@
     is full or a write fails, lines are dropped and counted. The count is written as an event as
     soon as writing works again.
 
-    :param file: path of the log file, or ``-`` for standard error
+    :param file: path of the log file, or ``-`` for standard output
     :param on_drop: called with the number of lines dropped, for the metrics; may run on the thread
+    :param rate: lines a second; what goes beyond is dropped and counted
     :raises OSError: when the file can't be opened
     """
 
     __slots__ = (
+        "allowance",
+        "allowed_at",
         "closing",
         "descriptor",
         "dropped",
         "lines",
         "on_drop",
         "owns_descriptor",
+        "rate",
         "reported",
         "thread",
         "torn",
         "wake",
     )
 
-    def __init__(self, file: str, on_drop: Callable[[int], object] | None = None) -> None:
-        self.owns_descriptor = file != STANDARD_ERROR
-        self.descriptor = _opened(file) if self.owns_descriptor else sys.stderr.fileno()
+    def __init__(
+        self,
+        file: str,
+        on_drop: Callable[[int], object] | None = None,
+        rate: int = DEFAULT_LOG_RATE,
+    ) -> None:
+        self.owns_descriptor = file != STANDARD_OUTPUT
+        self.descriptor = _opened(file) if self.owns_descriptor else sys.stdout.fileno()
         self.on_drop = on_drop
+        self.rate = float(rate)
+        self.allowance = self.rate * BURST
+        self.allowed_at = time.monotonic()
         self.lines: deque[bytes] = deque()
         self.wake = threading.Condition()
         self.closing = False
@@ -84,6 +99,10 @@
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Queue a message; never waits for the disk."""
+        if not self._is_within_rate():
+            with self.wake:
+                self._drop(1)
+            return
         line = json.dumps(message, default=str, separators=(",", ":")).encode() + b"\n"
         with self.wake:
             if len(self.lines) >= MAX_WAITING:
@@ -92,6 +111,17 @@
             self.lines.append(line)
             self.wake.notify()
 
+    def _is_within_rate(self) -> bool:
+        """Take an allowance; a burst of ``BURST`` seconds may be written at once."""
+        now = time.monotonic()
+        gained = (now - self.allowed_at) * self.rate
+        self.allowance = min(self.allowance + gained, self.rate * BURST)
+        self.allowed_at = now
+        if self.allowance < 1.0:
+            return False
+        self.allowance -= 1.0
+        return True
+
     def _run(self) -> None:
         while True:
             with self.wake:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/__init__.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/__init__.py
@@ -6,6 +6,7 @@
 from medlarpass_daemon.settings.daemon import DaemonSettings
 from medlarpass_daemon.settings.entry import EntrySettings
 from medlarpass_daemon.settings.exceptions import SettingsError
+from medlarpass_daemon.settings.fleet import FleetSettings
 from medlarpass_daemon.settings.listener import ListenerSettings
 from medlarpass_daemon.settings.loader import load_settings
 from medlarpass_daemon.settings.member import MemberSettings
@@ -17,6 +18,7 @@
     "ControlSettings",
     "DaemonSettings",
     "EntrySettings",
+    "FleetSettings",
     "ListenerSettings",
     "MemberSettings",
     "SecuritySettings",
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/control.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/control.py
@@ -29,7 +29,7 @@
         self.operators = ListenerSettings(document["operators"])
         self.data_folder = Path(document["data_folder"])
         #: Replicas of a new cluster; used only by ``medlarpassd --initialise``.
-        self.replicas = [MemberSettings(replica) for replica in document["replicas"]]
+        self.replicas = [MemberSettings(replica) for replica in document.get("replicas", ())]
         self.heartbeat: float = document["heartbeat"]
         #: Least election timeout; the greatest is twice as long.
         self.election_timeout: float = document["election_timeout"]
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/daemon.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/daemon.py
@@ -2,20 +2,26 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 from medlarpass import Value
 from medlarpass_daemon.settings.control import ControlSettings
 from medlarpass_daemon.settings.entry import EntrySettings
+from medlarpass_daemon.settings.fleet import FleetSettings
 from medlarpass_daemon.settings.listener import ListenerSettings
 from medlarpass_daemon.settings.security import SecuritySettings
 from medlarpass_daemon.settings.stop import StopSettings
 
+#: Log lines a second, unless the settings say otherwise.
+DEFAULT_LOG_RATE = 500
+
 
 class DaemonSettings(Value):
     """All settings of a process.
 
     :param document: validated settings file
+    :param file: where it was read from
     """
 
     __slots__ = (
@@ -23,7 +29,10 @@
         "control",
         "domain",
         "entry",
+        "file",
+        "fleet",
         "log_file",
+        "log_rate",
         "name",
         "platform",
         "rpc",
@@ -31,7 +40,8 @@
         "stop",
     )
 
-    def __init__(self, document: dict[str, Any]) -> None:
+    def __init__(self, document: dict[str, Any], file: Path = Path()) -> None:
+        self.file = file
         self.name: str = document["name"]
         self.domain: str = document["domain"]
         self.rpc = ListenerSettings(document["rpc"])
@@ -44,6 +54,10 @@
         roles = document["roles"]
         self.entry = EntrySettings(document["entry"]) if "entry" in roles else None
         self.control = ControlSettings(document["control"]) if "control" in roles else None
+        #: How other processes and servers are found; None when the settings list them.
+        self.fleet = FleetSettings(document["fleet"]) if "fleet" in document else None
         self.stop = StopSettings(document["stop"])
-        #: Path of the log file, or ``-`` for standard error.
+        #: Path of the log file, or ``-`` for standard output.
         self.log_file: str = document["log"]["file"]
+        #: Lines a second that are written at most.
+        self.log_rate: int = document["log"].get("lines_per_second", DEFAULT_LOG_RATE)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/entry.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/entry.py
@@ -24,7 +24,9 @@
         "coordinator_term",
         "heartbeat_wait",
         "order_body",
+        "owner_wait",
         "peers",
+        "place_wait",
         "server_staleness",
         "servers",
         "session_term",
@@ -33,10 +35,11 @@
 
     def __init__(self, document: dict[str, Any]) -> None:
         self.callers = ListenerSettings(document["callers"])
-        self.servers = ListenerSettings(document["servers"])
-        #: All entries of all failure domains, this one included.
-        self.peers = [MemberSettings(peer) for peer in document["peers"]]
-        self.control: list[str] = document["control"]
+        #: Listener for servers; None when they announce themselves to control.
+        self.servers = ListenerSettings(document["servers"]) if "servers" in document else None
+        #: All entries of all failure domains, this one included; empty when control knows them.
+        self.peers = [MemberSettings(peer) for peer in document.get("peers", ())]
+        self.control: list[str] = document.get("control", [])
         self.concurrency: int = document["concurrency"]
         self.connections_per_server: int = document["connections_per_server"]
         #: Bytes read ahead for each direction of a streamed body.
@@ -49,6 +52,10 @@
         #: Age of a server's last word after which it gets no more work.
         self.server_staleness: float = document["server_staleness"]
         self.sync_interval: float = document["sync_interval"]
+        #: Longest time that a request waits for its key to have an owner.
+        self.owner_wait: float = document["owner_wait"]
+        #: Longest time that a request waits for room at a server.
+        self.place_wait: float = document["place_wait"]
 
     def address_of(self, name: str, domain: str) -> str:
         """Return the gRPC address of an entry, or an empty text when it is not listed.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/loader.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/loader.py
@@ -25,7 +25,7 @@
     """
     document = _validated(path, _parsed(path))
     _check_sections(path, document)
-    settings = DaemonSettings(document)
+    settings = DaemonSettings(document, path)
     _check_consistency(path, settings)
     return settings
 
@@ -59,11 +59,29 @@
             )
     if "control" in document["roles"] and "operators" not in document["security"]:
         raise SettingsError(str(path), "security.operators", "expected for the role control")
+    _check_listed_processes(path, document)
+
+
+#: Keys of a section that name other processes; with the section ``fleet`` they are discovered.
+LISTED_PROCESSES = {"entry": ("servers", "peers", "control"), "control": ("replicas",)}
+
+
+def _check_listed_processes(path: Path, document: dict[str, Any]) -> None:
+    for section, keys in LISTED_PROCESSES.items():
+        for key in keys:
+            if section in document and (key in document[section]) == ("fleet" in document):
+                raise SettingsError(
+                    str(path), f"{section}.{key}", "expected exactly when there is no section fleet"
+                )
+    if "fleet" in document and ("listener" in document["fleet"]) != ("control" in document):
+        raise SettingsError(
+            str(path), "fleet.listener", "expected exactly when roles contains control"
+        )
 
 
 def _check_consistency(path: Path, settings: DaemonSettings) -> None:
     entry = settings.entry
-    if entry is None:
+    if entry is None or settings.fleet is not None:
         return
     names = [peer.name for peer in entry.peers]
     if len(set(names)) != len(names):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -14,6 +14,8 @@
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 MAX_PORT = 65_535
+OFFSET_PATTERN = re.compile(r"([0-9]{1,5})\+([0-9]{1,5})")
+MODULE_PATTERN = re.compile(r"[a-z_][a-z0-9_]*(\.[a-z_][a-z0-9_]*)*")
 
 
 def name(value: Any) -> str:
@@ -45,7 +47,9 @@
 
 
 def port(value: Any) -> int:
-    """Check a TCP port."""
+    """Check a TCP port; ``BASE+N`` names the port N above the base of a range."""
+    if isinstance(value, str) and (match := OFFSET_PATTERN.fullmatch(value)):
+        value = int(match[1]) + int(match[2])
     if isinstance(value, bool) or not isinstance(value, int) or not 1 <= value <= MAX_PORT:
         raise vol.Invalid(f"expected a port from 1 to {MAX_PORT}")
     return value
@@ -70,12 +74,36 @@
     return value
 
 
+def module(value: Any) -> str:
+    """Check the name of a Python module."""
+    if not isinstance(value, str) or not MODULE_PATTERN.fullmatch(value):
+        raise vol.Invalid("expected the name of a Python module")
+    return value
+
+
+def ratio(value: Any) -> float:
+    """Check a share of a whole."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= 1:
+        raise vol.Invalid("expected a number from 0 to 1")
+    return float(value)
+
+
 def listed(item: Any) -> Any:
     """Return a validator for a non-empty list."""
     return vol.All([item], vol.Length(min=1, msg="expected at least one item"))
 
 
-LISTENER = {vol.Required("ip"): ip, vol.Required("port"): port}
+def listener(value: Any) -> dict[str, Any]:
+    """Check an address to listen on: ``IP:PORT``, or a mapping with ``ip`` and ``port``."""
+    if not isinstance(value, str):
+        checked: dict[str, Any] = LISTENER_MAPPING(value)
+        return checked
+    host, _, number = endpoint(value).rpartition(":")
+    return {"ip": host.strip("[]"), "port": int(number)}
+
+
+LISTENER_MAPPING = vol.Schema({vol.Required("ip"): ip, vol.Required("port"): port})
+LISTENER = listener
 
 MEMBER = {
     vol.Required("name"): name,
@@ -110,9 +138,9 @@
 
 ENTRY = {
     vol.Required("callers"): LISTENER,
-    vol.Required("servers"): LISTENER,
-    vol.Required("peers"): listed(MEMBER),
-    vol.Required("control"): listed(endpoint),
+    vol.Optional("servers"): LISTENER,
+    vol.Optional("peers"): listed(MEMBER),
+    vol.Optional("control"): listed(endpoint),
     vol.Optional("concurrency", default=1024): count(1, 100_000),
     vol.Optional("connections_per_server", default=16): count(1, 10_000),
     vol.Optional("buffer", default="64KiB"): size("4KiB", "4MiB"),
@@ -122,17 +150,32 @@
     vol.Optional("heartbeat_wait", default="150ms"): duration("10ms", "10s"),
     vol.Optional("server_staleness", default="3s"): duration("500ms", "60s"),
     vol.Optional("sync_interval", default="100ms"): duration("10ms", "5s"),
+    vol.Optional("owner_wait", default="24h"): duration("0s", "24h"),
+    vol.Optional("place_wait", default="24h"): duration("0s", "24h"),
 }
 
 CONTROL = {
     vol.Required("operators"): LISTENER,
     vol.Required("data_folder"): text,
-    vol.Required("replicas"): listed(MEMBER),
+    vol.Optional("replicas"): listed(MEMBER),
     vol.Optional("heartbeat", default="100ms"): duration("10ms", "5s"),
     vol.Optional("election_timeout", default="500ms"): duration("50ms", "30s"),
     vol.Optional("snapshot_records", default=10_000): count(10, 10_000_000),
 }
 
+FLEET = {
+    vol.Required("adapter"): module,
+    vol.Required("seeds"): listed(endpoint),
+    vol.Required("first_start"): bool,
+    vol.Optional("listener"): LISTENER,
+    vol.Required("heartbeat"): duration("100ms", "60s"),
+    vol.Required("hold"): duration("500ms", "60s"),
+    vol.Optional("retry_ratio", default=0.1): ratio,
+    vol.Optional("retry_window", default="10s"): duration("1s", "10min"),
+    vol.Optional("retry_slack", default=0): count(0, 1_000_000),
+    vol.Optional("silent_after", default=3): count(1, 100),
+}
+
 SETTINGS_SCHEMA = vol.Schema(
     {
         vol.Required("name"): name,
@@ -147,12 +190,14 @@
         vol.Optional("address_translation", default=list): [TRANSLATION],
         vol.Optional("entry"): ENTRY,
         vol.Optional("control"): CONTROL,
+        vol.Optional("fleet"): FLEET,
         vol.Optional("stop", default=dict): {
             vol.Optional("balancer_wait", default="0s"): duration("0s", "10min"),
             vol.Optional("finish_within", default="4h"): duration("0s", "240h"),
         },
         vol.Optional("log", default=dict): {
             vol.Optional("file", default="-"): text,
+            vol.Optional("lines_per_second", default=500): count(1, 1_000_000),
         },
     }
 )
--- a/packages/medlarpass-daemon/tests/entry/callers/conftest.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/conftest.py
@@ -189,6 +189,9 @@
         self.revision = 0
         self.matcher = RouteMatcher(())
 
+    def pool_of(self, route: Route) -> Pool:
+        return self.pools[route.pool]
+
     def add(self, name: str, owned: bool = False, **document: Any) -> Route:
         pool = f"{name}-pool"
         self.pools[pool] = Pool.from_document(pool, {"owned": owned})
@@ -201,6 +204,8 @@
 class Owners:
     """Owners of keys, set by the test."""
 
+    ends_lost_attempts = True
+
     def __init__(self) -> None:
         self.owners: dict[str, Target] = {}
         self.changed = asyncio.Event()
--- a/packages/medlarpass-daemon/tests/entry/callers/test_callers_server.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_callers_server.py
@@ -290,3 +290,31 @@
     assert count("-", "not-run")._value.get() == 1
     assert entry.metrics.latency.labels("art")._sum.get() > 0
     assert entry.metrics.in_flight._value.get() == 0
+
+
+async def test_a_stop_answers_a_request_that_was_just_read(world: Any) -> None:
+    """Guards against a stop that closes a connection whose request has no handler yet."""
+    await world.server()
+    entry = await world.entry()
+    reader, writer = await world.connect()
+    await world.until(entry._connections)
+    entry.stop_accepting()
+    idle = entry._close_idle(set())
+    (connection,) = entry._connections()
+    connection.data_received(b"GET /art/a HTTP/1.1\r\nHost: x\r\n\r\n")
+    entry._close_idle(idle)
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 20)
+    assert head.startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
+async def test_answers_end_their_connections_before_the_listener_closes(world: Any) -> None:
+    """Guards against callers that stay until the last moment of a planned stop."""
+    await world.server()
+    entry = await world.entry()
+    entry.announce_stop()
+    reader, writer = await world.connect()
+    writer.write(b"GET /art/a HTTP/1.1\r\nHost: x\r\n\r\n")
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 20)
+    assert b"Connection: close" in head
+    writer.close()
--- a/packages/medlarpass-daemon/tests/entry/callers/test_server_client.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_server_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 
 from typing import Any
 
@@ -13,6 +14,8 @@
 
 from medlarpass import MedlarpassError
 from medlarpass import Outcome
+from medlarpass_daemon.entry.callers.dialect import OwnDialect
+from medlarpass_daemon.entry.callers.exceptions import AnswerLostError
 from medlarpass_daemon.entry.callers.exchange import Exchange
 from medlarpass_daemon.entry.callers.server_client import ServerClient
 
@@ -45,6 +48,7 @@
         world.clock.now() + seconds,
         world.clock,
         lambda: None,
+        OwnDialect(),
     )
 
 
@@ -342,3 +346,47 @@
     await body_of(client, second)
     assert server.connections == 2
     await asyncio.wait_for(server.broken.wait(), 20)
+
+
+class UnframedDialect(OwnDialect):
+    """Accepts answers that the end of their connection delimits."""
+
+    accepts_unframed = True
+
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nMedlarpass-Request-Id: id-1\r\n\r\n" + b"x" * 1000
+
+
+async def unframed_body(world: Any, client: ServerClient, behaviour: Any) -> bytes:
+    """Return the whole body of an answer without a length."""
+    server = await world.server(behaviour)
+    exchange = exchange_of(world, server.port)
+    exchange.dialect = UnframedDialect()
+    answer = await client.send(exchange)
+    parts = [await answer.prefetch(1)]
+    parts += [chunk async for chunk in answer.chunks()]
+    assert answer.is_complete
+    return b"".join(parts)
+
+
+async def test_the_end_of_a_connection_delimits_an_answer_without_length(
+    world: Any, kit: Any, client: ServerClient
+) -> None:
+    """Guards against whole answers that are refused."""
+    body = await unframed_body(world, client, kit.replying(UNFRAMED, closes=True))
+    assert body == b"x" * 1000
+
+
+async def test_a_reset_cuts_off_an_answer_without_length(world: Any, client: ServerClient) -> None:
+    """Guards against a part of an answer that is passed on as the whole (MIXED, trouble-2)."""
+
+    async def cut(request: Any, reader: Any, writer: Any) -> None:
+        writer.write(UNFRAMED)
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    with pytest.raises(AnswerLostError):
+        await unframed_body(world, client, cut)
--- a/packages/medlarpass-daemon/tests/observability/test_log_writer.py
+++ b/packages/medlarpass-daemon/tests/observability/test_log_writer.py
@@ -136,4 +136,4 @@
         env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
     )
     assert done.returncode == 0, done.stderr
-    assert json.loads(done.stderr)["a"] == 1
+    assert json.loads(done.stdout)["a"] == 1
--- a/packages/medlarpass/src/medlarpass/control/control_state.py
+++ b/packages/medlarpass/src/medlarpass/control/control_state.py
@@ -8,6 +8,7 @@
 from medlarpass.control.exceptions import CommandRejectedError
 from medlarpass.ledger import OrderLedger
 from medlarpass.ownership import DelegationTable
+from medlarpass.ranges import RangeTable
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import state_pb2
 from medlarpass.tables import ConfigurationTable
@@ -17,14 +18,26 @@
 
 
 class ControlState:
-    """Tables, delegations and order ledger, changed only by committed commands."""
-
-    __slots__ = ("applied_index", "delegations", "ledger", "observers", "tables")
+    """Tables, delegations, order ledger, publication and ranges, changed only by committed
+    commands."""
+
+    __slots__ = (
+        "applied_index",
+        "delegations",
+        "ledger",
+        "observers",
+        "publication",
+        "ranges",
+        "tables",
+    )
 
     def __init__(self) -> None:
         self.tables = ConfigurationTable()
         self.ledger = OrderLedger()
         self.delegations = DelegationTable()
+        #: Routes and pools that were put in force as a whole; version 0 before the first.
+        self.publication = control_pb2.Publish()
+        self.ranges = RangeTable()
         self.applied_index = 0
         #: Called after each change of the state.
         self.observers: list[Callable[[], None]] = []
@@ -52,6 +65,8 @@
             tables=self.tables.snapshot(),
             ledger=self.ledger.snapshot(),
             delegations=self.delegations.to_bytes(),
+            publication=self.publication,
+            ranges=self.ranges.snapshot(),
         )
         return snapshot.SerializeToString()
 
@@ -61,6 +76,8 @@
         self.tables = ConfigurationTable.restored(snapshot.tables)
         self.ledger = OrderLedger.restored(snapshot.ledger)
         self.delegations = DelegationTable.from_bytes(snapshot.delegations)
+        self.publication = snapshot.publication
+        self.ranges = RangeTable.restored(snapshot.ranges)
         self._notify()
 
     def _notify(self) -> None:
@@ -148,3 +165,29 @@
     body: control_pb2.RenewEpochs, state: ControlState, time_ms: int
 ) -> control_pb2.CommandResult:
     return control_pb2.CommandResult(delegation=state.delegations.apply(body))
+
+
+@apply_body.register
+def _publish(
+    body: control_pb2.Publish, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    changed = body.version > state.publication.version
+    if changed:
+        state.publication = body
+    result = control_pb2.PublishResult(version=state.publication.version, changed=changed)
+    return control_pb2.CommandResult(publish=result)
+
+
+@apply_body.register
+def _assign_ranges(
+    body: control_pb2.AssignRanges, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(ranges=state.ranges.assign(body))
+
+
+@apply_body.register
+def _retire_server(
+    body: control_pb2.RetireServer, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    state.ranges.retire(body)
+    return control_pb2.CommandResult(ranges=control_pb2.RangesResult())
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/fleet/__init__.py
@@ -0,0 +1,13 @@
+"""Servers that announce themselves to control."""
+
+from __future__ import annotations
+
+from medlarpass.fleet.fleet_directory import FleetDirectory
+from medlarpass.fleet.fleet_member import FleetMember
+from medlarpass.fleet.server_notice import ServerNotice
+
+__all__ = [
+    "FleetDirectory",
+    "FleetMember",
+    "ServerNotice",
+]
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/publication/__init__.py
@@ -0,0 +1,23 @@
+"""Routes and pools that operators replace as a whole; the highest version is in force."""
+
+from __future__ import annotations
+
+from medlarpass.publication.caller_limits import CallerLimits
+from medlarpass.publication.exceptions import InvalidPublicationError
+from medlarpass.publication.exceptions import PublicationError
+from medlarpass.publication.prefix_matcher import PrefixMatcher
+from medlarpass.publication.publication import Publication
+from medlarpass.publication.published_pool import PublishedPool
+from medlarpass.publication.published_route import PoolShare
+from medlarpass.publication.published_route import PublishedRoute
+
+__all__ = [
+    "CallerLimits",
+    "InvalidPublicationError",
+    "PoolShare",
+    "PrefixMatcher",
+    "Publication",
+    "PublicationError",
+    "PublishedPool",
+    "PublishedRoute",
+]
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/publication/prefix_matcher.py
@@ -0,0 +1,49 @@
+"""Finds the route with the longest prefix of a path."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarpass.publication.exceptions import InvalidPublicationError
+from medlarpass.tables import RouteNotFoundError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from medlarpass.publication.published_route import PublishedRoute
+
+
+class PrefixMatcher:
+    """Routes by host and prefix; every prefix begins and ends with a slash.
+
+    :param routes: all routes
+    :raises InvalidPublicationError: when two routes share host and prefix
+    """
+
+    __slots__ = ("hosts",)
+
+    def __init__(self, routes: Iterable[PublishedRoute]) -> None:
+        self.hosts: dict[str, dict[str, PublishedRoute]] = {}
+        for route in routes:
+            other = self.hosts.setdefault(route.host, {}).setdefault(route.prefix, route)
+            if other is not route:
+                raise InvalidPublicationError(
+                    f"routes {other.name} and {route.name} share host and prefix"
+                )
+
+    def find(self, host: str, path: str, method: str) -> PublishedRoute:
+        """Find the route of a request.
+
+        :param host: host name without port
+        :param path: path as the caller sent it
+        :param method: HTTP method, which selects nothing here
+        :raises RouteNotFoundError: when no route matches
+        """
+        prefixes = self.hosts.get(host.lower())
+        end = path.rfind("/") + 1 if prefixes else 0
+        while prefixes and end > 0:
+            route = prefixes.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end - 1) + 1
+        raise RouteNotFoundError(f"no route for {method} {host}{path}")
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/publication/publication.py
@@ -0,0 +1,134 @@
+"""A version of all routes and pools."""
+
+from __future__ import annotations
+
+import json
+
+from typing import Any
+
+import voluptuous as vol
+
+from medlarpass.publication.caller_limits import CallerLimits
+from medlarpass.publication.exceptions import InvalidPublicationError
+from medlarpass.publication.prefix_matcher import PrefixMatcher
+from medlarpass.publication.published_pool import PublishedPool
+from medlarpass.publication.published_route import PublishedRoute
+from medlarpass.tables import RequestClass
+
+#: A target that exceeds the timeout by this many seconds is taken for a wrong unit.
+TARGET_OVER_TIMEOUT = 60.0
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value != value:
+        raise vol.Invalid("expected a number")
+    return value
+
+
+def _integer(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise vol.Invalid("expected an integer")
+    return value
+
+
+def _prefix(value: Any) -> str:
+    if not isinstance(value, str) or not value.startswith("/") or not value.endswith("/"):
+        raise vol.Invalid("expected a path that begins and ends with a slash")
+    return value
+
+
+TEXT = vol.All(str, vol.Length(min=1))
+WEIGHT = vol.All(_number, vol.Range(min=0))
+POSITIVE = vol.All(_number, vol.Range(min=0, min_included=False))
+
+ROUTE = {
+    vol.Required("name"): TEXT,
+    vol.Required("host"): TEXT,
+    vol.Required("prefix"): _prefix,
+    vol.Required("class"): vol.In([each.value for each in RequestClass]),
+    vol.Required("timeout"): POSITIVE,
+    vol.Required("target"): POSITIVE,
+    vol.Required("priority"): _integer,
+    vol.Required("attempts"): vol.All(_integer, vol.Range(min=1)),
+    vol.Required("shares"): vol.All(
+        [{vol.Required("pool"): TEXT, vol.Required("weight"): WEIGHT}], vol.Length(min=1)
+    ),
+}
+POOL = {
+    vol.Required("name"): TEXT,
+    vol.Required("owned"): bool,
+    vol.Required("connections"): vol.All(_integer, vol.Range(min=1)),
+}
+SCHEMA = vol.Schema(
+    {
+        vol.Required("version"): vol.All(_integer, vol.Range(min=0)),
+        vol.Required("key_header"): TEXT,
+        vol.Required("routes"): [ROUTE],
+        vol.Required("pools"): [POOL],
+        vol.Required("limits"): {
+            vol.Optional("header_bytes"): POSITIVE,
+            vol.Optional("body_bytes"): POSITIVE,
+            vol.Optional("header_seconds"): POSITIVE,
+            vol.Optional("idle_seconds"): POSITIVE,
+        },
+    }
+)
+
+
+class Publication:
+    """Routes, pools and limits under one version.
+
+    :param document: document that :meth:`from_document` has checked
+    :raises InvalidPublicationError: when parts of it contradict each other
+    """
+
+    __slots__ = ("document", "limits", "matcher", "pools", "routes", "version")
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self.document = document
+        self.version: int = document["version"]
+        self.limits = CallerLimits(document["limits"])
+        self.pools = {item["name"]: PublishedPool(item["name"], item) for item in document["pools"]}
+        self.routes = [
+            PublishedRoute(item["name"], item, self.limits, document["key_header"])
+            for item in document["routes"]
+        ]
+        self.matcher = PrefixMatcher(self.routes)
+        self._check()
+
+    @classmethod
+    def from_document(cls, document: Any) -> Publication:
+        """Check a document and build the publication.
+
+        :param document: parsed JSON
+        :raises InvalidPublicationError: naming the key and what was expected
+        """
+        try:
+            return cls(SCHEMA(document))
+        except vol.MultipleInvalid as error:
+            first = error.errors[0]
+            key = ".".join(str(part) for part in first.path)
+            raise InvalidPublicationError(f"{key}: {first.msg}") from error
+
+    @classmethod
+    def from_json(cls, text: bytes) -> Publication:
+        """Build a publication from the text that :meth:`to_json` returned."""
+        return cls(json.loads(text))
+
+    def to_json(self) -> bytes:
+        """Return the document as JSON text."""
+        return json.dumps(self.document, separators=(",", ":")).encode()
+
+    def _check(self) -> None:
+        if len(self.pools) != len(self.document["pools"]):
+            raise InvalidPublicationError("pools: expected each name once")
+        if len({route.name for route in self.routes}) != len(self.routes):
+            raise InvalidPublicationError("routes: expected each name once")
+        for route in self.routes:
+            for share in route.shares:
+                if share.pool not in self.pools:
+                    raise InvalidPublicationError(f"{route.name}: no pool {share.pool}")
+            if sum(share.weight for share in route.shares) <= 0:
+                raise InvalidPublicationError(f"{route.name}: expected a weight above 0")
+            if route.target >= route.deadline + TARGET_OVER_TIMEOUT:
+                raise InvalidPublicationError(f"{route.name}: target far above the timeout")
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/publication/published_route.py
@@ -0,0 +1,76 @@
+"""A route of a publication."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from medlarpass.base import Value
+from medlarpass.tables import Route
+from medlarpass.tables.schema import METHODS
+
+if TYPE_CHECKING:
+    from medlarpass.publication.caller_limits import CallerLimits
+
+#: Requests of one route that an entry works on at a time; the servers are the tighter bound.
+CONCURRENCY = 512
+#: Requests that may wait for admission; all others are refused at once.
+QUEUE = 64
+
+
+class PoolShare(Value):
+    """A pool that gets a share of a route's requests.
+
+    :param pool: name of the pool
+    :param weight: share in relation to the other weights of the route
+    """
+
+    __slots__ = ("pool", "weight")
+
+    def __init__(self, pool: str, weight: float) -> None:
+        self.pool = pool
+        self.weight = weight
+
+
+class PublishedRoute(Route):
+    """A route selected by host and path prefix.
+
+    :param name: unique name
+    :param document: ``host``, ``prefix``, ``class``, ``timeout``, ``target``, ``priority``,
+        ``attempts``, ``shares``
+    :param limits: limits for callers
+    :param key_header: header that holds the key of a request
+    """
+
+    __slots__ = ("attempts", "prefix", "priority", "shares", "target")
+    is_key_optional = True
+
+    def __init__(
+        self, name: str, document: dict[str, Any], limits: CallerLimits, key_header: str
+    ) -> None:
+        shares = [PoolShare(each["pool"], each["weight"]) for each in document["shares"]]
+        super().__init__(
+            name,
+            {
+                "host": document["host"],
+                "path": document["prefix"],
+                "methods": METHODS,
+                "class": document["class"],
+                "key": {"from": "header", "name": key_header},
+                "pool": shares[0].pool,
+                "deadline_ms": document["timeout"] * 1000,
+                "limits": {
+                    "concurrency": CONCURRENCY,
+                    "queue": QUEUE,
+                    "body_bytes": limits.body_bytes,
+                },
+            },
+        )
+        self.prefix: str = document["prefix"]
+        self.shares = tuple(shares)
+        #: Seconds within which an answer is worth most.
+        self.target: float = document["target"]
+        #: Rank of the route; 0 is the most urgent.
+        self.priority: int = document["priority"]
+        #: Servers that one request may be sent to at most.
+        self.attempts: int = document["attempts"]
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/ranges/__init__.py
@@ -0,0 +1,21 @@
+"""Ranges of integer keys that servers hold, as control assigns them."""
+
+from __future__ import annotations
+
+from medlarpass.ranges.hold_book import HoldBook
+from medlarpass.ranges.range_assignment import KEY_COUNT
+from medlarpass.ranges.range_assignment import RangeAssignment
+from medlarpass.ranges.range_loads import RangeLoads
+from medlarpass.ranges.range_planner import PlannerServer
+from medlarpass.ranges.range_planner import RangePlanner
+from medlarpass.ranges.range_table import RangeTable
+
+__all__ = [
+    "KEY_COUNT",
+    "HoldBook",
+    "PlannerServer",
+    "RangeAssignment",
+    "RangeLoads",
+    "RangePlanner",
+    "RangeTable",
+]
--- a/packages/medlarpass/src/medlarpass/replication/replica.py
+++ b/packages/medlarpass/src/medlarpass/replication/replica.py
@@ -155,6 +155,9 @@
         state.history = MembershipHistory(state.votes.initial)
         await self._restore(snapshot)
         state.quiet_since = state.clock.now()
+        if state.term:
+            # A leader may rely on the contact that it had with this replica before a restart.
+            state.leader_seen_at = state.quiet_since
         state.running = True
         state.spawn(self.applier.run())
         state.spawn(self.election.run())
--- a/packages/medlarpass/src/medlarpass/tables/route.py
+++ b/packages/medlarpass/src/medlarpass/tables/route.py
@@ -5,6 +5,7 @@
 import json
 
 from typing import Any
+from typing import ClassVar
 
 from medlarpass.base import Value
 from medlarpass.tables.exceptions import InvalidDocumentError
@@ -35,6 +36,8 @@
         "queue",
         "request_class",
     )
+    #: Whether requests to pools without owned keys may lack the key.
+    is_key_optional: ClassVar[bool] = False
 
     def __init__(self, name: str, document: dict[str, Any]) -> None:
         key = document.get("key")
--- /dev/null
+++ b/tests/platform_adapter/test_formats.py
@@ -0,0 +1,145 @@
+from __future__ import annotations
+
+import json
+
+from typing import Any
+
+import pytest
+
+from medlarpass.publication import InvalidPublicationError
+from medlarpass.publication import Publication
+from medlarpass_daemon.control.fleet.exceptions import InvalidNoticeError
+from medlarpass_platform import formats
+
+HEARTBEAT: dict[str, Any] = {
+    "upstream": "rolls",
+    "address": "10.128.0.9:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "slow_start_s_time": 1.5,
+    "sequence": 4,
+    "born": 1_780_500_289_168,
+}
+CONFIGURATION: dict[str, Any] = {
+    "version": "r7",
+    "routes": [
+        {
+            "name": "split",
+            "host": "Rolls.example",
+            "path_prefix": "/rolls/",
+            "type": "safe",
+            "timeout_s": 1,
+            "target_latency_s": 0.4,
+            "priority": 2,
+            "traffic_split": [
+                {"upstream": "rolls", "weight": 90},
+                {"upstream": "orders", "weight": 10},
+            ],
+            "max_attempts": 2,
+        },
+        {
+            "name": "orders",
+            "host": "rolls.example",
+            "path_prefix": "/orders/",
+            "type": "unsafe",
+            "timeout_s": 1.2,
+            "target_latency_s": 0.5,
+            "priority": 1,
+            "upstream": "orders",
+            "max_attempts": 2,
+        },
+    ],
+    "upstreams": [
+        {"name": "rolls", "max_connections": 130, "sharded": True},
+        {"name": "orders", "max_connections": 130},
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_s": 15},
+}
+
+
+def test_a_heartbeat_is_read() -> None:
+    """Guards against a field of a heartbeat that is taken for another one."""
+    notice = formats.notice_of("i-1", json.dumps(HEARTBEAT).encode())
+    assert (notice.identity, notice.life, notice.sequence) == ("i-1", 1_780_500_289_168, 4)
+    assert (notice.pool, notice.ip, notice.port) == ("rolls", "10.128.0.9", 8080)
+    assert (notice.domain, notice.slots, notice.warming) == ("north", 4, 1.5)
+    assert not notice.is_leaving
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": None},
+        {"address": "nowhere"},
+        {"slots": "4"},
+        {"slots": 0},
+        {"state": "odd"},
+        {"born": "yesterday"},
+        {"born": True},
+        {"sequence": -1},
+        {"upstream": 7},
+        {"slow_start_s_time": "soon"},
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_no_server(changes: dict[str, Any]) -> None:
+    """Guards against a strange heartbeat that ends or replaces a server."""
+    with pytest.raises(InvalidNoticeError):
+        formats.notice_of("i-1", json.dumps({**HEARTBEAT, **changes}).encode())
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"null", b"\xff\xfe", b'{"upstream":'])
+def test_bytes_that_are_no_heartbeat_are_refused(body: bytes) -> None:
+    """Guards against a call that fails in an unexpected way."""
+    with pytest.raises(InvalidNoticeError):
+        formats.notice_of("i-1", body)
+
+
+def test_a_configuration_becomes_a_publication() -> None:
+    """Guards against a class, time or weight that changes on the way."""
+    publication = Publication.from_document(
+        formats.publication_of(json.dumps(CONFIGURATION).encode())
+    )
+    split, orders = publication.routes
+    assert publication.version == 7
+    assert (split.host, split.prefix, split.deadline, split.target) == (
+        "rolls.example",
+        "/rolls/",
+        1,
+        0.4,
+    )
+    assert [(share.pool, share.weight) for share in split.shares] == [("rolls", 90), ("orders", 10)]
+    assert orders.request_class.value == "order"
+    assert publication.pools["rolls"].owned
+    assert not publication.pools["orders"].owned
+    assert publication.limits.idle_seconds == 15
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": "7"},
+        {"version": "r"},
+        {"version": 7},
+        {"routes": None},
+        {"routes": [{}]},
+        {"routes": ["..."]},
+        {"upstreams": {}},
+        {"limits": 4},
+    ],
+)
+def test_a_configuration_that_cannot_be_read_is_refused(changes: dict[str, Any]) -> None:
+    """Guards against a configuration that is confirmed although a part of it is missing."""
+    with pytest.raises(InvalidPublicationError):
+        Publication.from_document(
+            formats.publication_of(json.dumps({**CONFIGURATION, **changes}).encode())
+        )
+
+
+def test_a_configuration_that_is_cut_short_is_refused() -> None:
+    """Guards against the beginning of a configuration that is put in force."""
+    body = json.dumps(CONFIGURATION).encode()
+    for end in range(0, len(body) - 1, 40):
+        with pytest.raises(InvalidPublicationError):
+            formats.publication_of(body[:end])
--- /dev/null
+++ b/tests/platform_adapter/test_platform_dialect.py
@@ -0,0 +1,129 @@
+from __future__ import annotations
+
+import pytest
+
+from multidict import CIMultiDict
+from multidict import CIMultiDictProxy
+
+from medlarpass import MedlarpassError
+from medlarpass_daemon.entry.callers.exceptions import AnswerLostError
+from medlarpass_daemon.entry.callers.exceptions import CrossedAnswerError
+from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.exceptions import DeadlineOutcomeUnknownError
+from medlarpass_daemon.entry.callers.exceptions import NoOwnerError
+from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
+from medlarpass_daemon.entry.callers.interfaces import Target
+from medlarpass_platform import names
+from medlarpass_platform.platform_dialect import PlatformDialect
+
+DIALECT = PlatformDialect()
+SIGNED = {names.SIGNATURE: "3e1b", names.REQUEST_ID: "a1"}
+
+
+def received(**headers: str) -> CIMultiDictProxy[str]:
+    """Return received headers; underscores stand for hyphens."""
+    return CIMultiDictProxy(
+        CIMultiDict({name.replace("_", "-"): value for name, value in headers.items()})
+    )
+
+
+def answer(headers: dict[str, str]) -> CIMultiDictProxy[str]:
+    """Return the headers of a server's answer."""
+    return CIMultiDictProxy(CIMultiDict(headers))
+
+
+def test_a_signed_answer_passes() -> None:
+    """Guards against answers of servers that are thrown away."""
+    DIALECT.check_answer(200, answer(SIGNED), "a1")
+    DIALECT.check_answer(500, answer(SIGNED), "a1")
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+def test_an_unsigned_answer_is_none(status: int) -> None:
+    """Guards against bytes of a faulty server that are passed on as its answer."""
+    with pytest.raises(AnswerLostError):
+        DIALECT.check_answer(status, answer({names.REQUEST_ID: "a1"}), "a1")
+
+
+def test_an_encoded_answer_is_none() -> None:
+    """Guards against a body that is not the server's."""
+    with pytest.raises(AnswerLostError):
+        DIALECT.check_answer(200, answer({**SIGNED, "Content-Encoding": "gzip"}), "a1")
+
+
+def test_an_answer_to_another_request_is_crossed() -> None:
+    """Guards against a caller that gets what another one has asked for."""
+    with pytest.raises(CrossedAnswerError):
+        DIALECT.check_answer(200, answer({**SIGNED, names.REQUEST_ID: "b2"}), "a1")
+
+
+@pytest.mark.parametrize(("status", "refusal"), [(503, "shedding"), (421, "not-owner")])
+def test_a_refusal_with_proof_was_not_run(status: int, refusal: str) -> None:
+    """Guards against a refused request that is not tried elsewhere."""
+    with pytest.raises(ServerRefusedError) as caught:
+        DIALECT.check_answer(status, answer({names.NOT_RUN: "1"}), "a1")
+    assert caught.value.refusal == refusal
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_a_promise_without_proof_is_not_passed_on(status: int) -> None:
+    """Guards against a caller who is told that an order did not run, though it may have."""
+    with pytest.raises(AnswerLostError):
+        DIALECT.check_answer(status, answer(SIGNED), "a1")
+
+
+@pytest.mark.parametrize(
+    ("error", "may_have_run", "status"),
+    [
+        (NoOwnerError(""), False, 503),
+        (DeadlineExceededError(""), False, 503),
+        (NoOwnerError(""), True, 502),
+        (DeadlineOutcomeUnknownError(""), False, 504),
+        (AnswerLostError(""), False, 502),
+        (MedlarpassError(""), False, 502),
+    ],
+)
+def test_only_what_has_not_run_is_promised(
+    error: MedlarpassError, may_have_run: bool, status: int
+) -> None:
+    """Guards against a promise for a request that may have run."""
+    response = DIALECT.error_response(error, "a1", may_have_run)
+    assert response.status == status
+    assert ("Retry-After" in response.headers) == (status == 503)
+
+
+def test_a_server_gets_the_request_as_it_was_sent() -> None:
+    """Guards against headers that a caller could use to speak for the entry."""
+    target = Target("i-7", 1, "10.0.0.1", 80, 3, 100)
+    sent = DIALECT.to_server(
+        received(
+            Host="rolls.example",
+            Medlarpass_Attempt_Id="a1",
+            Medlarpass_Shard_Key="17",
+            Medlarpass_Expected_Instance="i-1",
+            Medlarpass_Deadline_Ms="5",
+            Connection="keep-alive, X-Own",
+            X_Own="1",
+            X_Other="2",
+            Transfer_Encoding="chunked",
+        ),
+        "a1",
+        "10.9.9.9",
+        "http",
+        target,
+    )
+    DIALECT.set_deadline(sent, 0.25)
+    assert dict(sent) == {
+        "Host": "rolls.example",
+        "Medlarpass-Attempt-Id": "a1",
+        "Medlarpass-Shard-Key": "17",
+        "X-Other": "2",
+        "Medlarpass-Expected-Instance": "i-7",
+        "Medlarpass-Deadline-Ms": "250",
+    }
+
+
+def test_a_caller_gets_the_proof_of_the_server() -> None:
+    """Guards against an answer that callers do not count because its proof is missing."""
+    passed = DIALECT.to_caller(answer({**SIGNED, "Keep-Alive": "timeout=5"}), "a1")
+    assert dict(passed) == SIGNED
