Give each entry its fair part of a server; weigh servers by their speed

Balancing moved keys on counts that differed by chance, and servers of different speed got equal loads.

Change: the limit of an entry never falls below its fair part of a server, which keeps a queue that is worked off within the usual target. Keys move only when a count exceeds the fair load by two standard deviations. Entries report the time of answers, and control weighs servers by it.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -70,6 +70,8 @@
             return fleet_pb2.EntryReportResponse(not_leader=self._not_leader())
         for load in request.loads:
             self.fleet.loads_of(load.pool).add(load.buckets, load.requests)
+        for time in request.times:
+            self.fleet.speeds.add(time.identity, time.answers, time.milliseconds / 1000)
         return fleet_pb2.EntryReportResponse()
 
     async def Join(self, request: fleet_pb2.JoinRequest, context: Any) -> fleet_pb2.JoinResponse:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -9,6 +9,7 @@
 from medlarpass.fleet import FleetDirectory
 from medlarpass.publication import Publication
 from medlarpass.ranges import RangeLoads
+from medlarpass.ranges import ServerSpeeds
 from medlarpass.rpc import fleet_pb2
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
         "moving",
         "parsed",
         "ranges_version",
+        "speeds",
         "state",
     )
 
@@ -45,6 +47,7 @@
         self.state = state
         self.directory = FleetDirectory(clock)
         self.loads: dict[str, RangeLoads] = {}
+        self.speeds = ServerSpeeds()
         #: Fences of the assignments that their servers have confirmed.
         self.confirmed: set[int] = set()
         #: Keys by pool that are on their way between servers.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -189,6 +189,7 @@
             await asyncio.sleep(LOAD_PERIOD)
             for loads in self.fleet.loads.values():
                 loads.age()
+            self.fleet.speeds.age()
 
     async def _step(self) -> None:
         for name in self.fleet.directory.forget_silent():
@@ -231,11 +232,16 @@
         return self.clock.now() - self.led_since >= wait
 
     def _servers(self, pool: str) -> list[PlannerServer]:
-        return [
-            PlannerServer(member.notice.identity, member.notice.life, float(member.notice.slots))
+        notices = [
+            member.notice
             for member in self.fleet.directory.usable(pool)
             if not self.fleet.directory.is_replaced(member) and not self._is_silent(member)
         ]
+        factors = self.fleet.speeds.factors([notice.identity for notice in notices])
+        return [
+            PlannerServer(notice.identity, notice.life, notice.slots * factor)
+            for notice, factor in zip(notices, factors, strict=True)
+        ]
 
     def _is_silent(self, member: FleetMember) -> bool:
         silence = self.clock.now() - member.seen_at
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/place.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/place.py
@@ -62,6 +62,7 @@
             self.answered()
         assert self.latency is not None
         self.limiter.finished(self.latency)
+        self.places.note_time(self.target.identity, self.latency)
         self.places.balancer.finished(self.attempt)
         self._record(Outcome.RUN, status)
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -37,6 +37,9 @@
 #: Seconds after which a waiting request looks at the servers again: new servers and ended
 #: ejections wake nobody.
 LOOK_AGAIN = 0.05
+#: Requests for each slot of a server that its entries may always have in flight together: those
+#: that run, and a queue that is worked off within the usual target.
+FAIR_DEPTH = 2.5
 #: Seconds for which a server gets nothing after a connection to it could not be opened.
 UNREACHABLE_PAUSE = 0.3
 #: A server is taken for stalled when it owes at least this many answers, ...
@@ -62,9 +65,11 @@
         "balancer",
         "clock",
         "ejector",
+        "entries",
         "lag",
         "limiters",
         "longest_wait",
+        "times",
         "waiting",
     )
 
@@ -76,6 +81,10 @@
         self.balancer.peers = cast("ReportedLoads", peer_loads)
         self.ejector = Ejector(EjectorSettings(), clock)
         self.lag = LoopLag(clock)
+        #: Entries that send to the servers, 0 while unknown.
+        self.entries = 0
+        #: Answers and the sum of their seconds by server, since the last report.
+        self.times: dict[str, tuple[int, float]] = {}
         #: Reading of the clock until which a server gets nothing, by identity.
         self.avoided_until: dict[str, float] = {}
         #: Reading of the clock of the last answer, by identity.
@@ -143,6 +152,16 @@
         self.answered_at[identity] = self.clock.now()
         self.avoided_until.pop(identity, None)
 
+    def note_time(self, identity: str, seconds: float) -> None:
+        """Count the time of an answer for the next report."""
+        count, total = self.times.get(identity, (0, 0.0))
+        self.times[identity] = (count + 1, total + seconds)
+
+    def take_times(self) -> dict[str, tuple[int, float]]:
+        """Return answers and their seconds by server since the last call."""
+        taken, self.times = self.times, {}
+        return taken
+
     def is_avoided(self, identity: str) -> bool:
         """Return whether a request to a server would most likely only wait for its deadline.
 
@@ -255,6 +274,9 @@
             # Places that are open hold this limiter, so it is changed and not replaced.
             limiter.slots = target.slots
             limiter.limit = min(limiter.limit, float(target.slots))
+        if self.entries:
+            limiter.floor = min(target.slots * FAIR_DEPTH / self.entries, float(target.slots))
+            limiter.limit = max(limiter.limit, limiter.floor)
         return limiter
 
     def _look_again(self, targets: Sequence[Target]) -> float:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -74,9 +74,6 @@
         loads = KeyLoads()
         self.routing = FleetRouting()
         self.servers = FleetServers(self.routing, loads)
-        self.watcher = FleetWatcher(
-            settings, seeds, self._apply, lambda: self.routing.revision, loads, channels, clock
-        )
         self.callers = CallersServer(
             settings,
             self.routing,
@@ -88,6 +85,16 @@
             CallersMetrics(metrics.registry),
             settings.fleet.load_adapter().dialect,
         )
+        self.watcher = FleetWatcher(
+            settings,
+            seeds,
+            self._apply,
+            lambda: self.routing.revision,
+            loads,
+            self.callers.path.places.take_times,
+            channels,
+            clock,
+        )
         self.tasks: list[asyncio.Task[None]] = []
 
     def add_services(self, server: grpc.aio.Server) -> None:
@@ -127,6 +134,7 @@
             self.metrics.configuration_revision.set(self.routing.revision)
             self.servers.targets.clear()
         self.callers.path.client.budget.entries_seen(self.watcher.entries)
+        self.callers.path.places.entries = self.watcher.entries
         self.servers.apply(update)
         if self.routing.revision:
             self.readiness.clear(NO_PUBLICATION)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -42,6 +42,7 @@
     :param apply: takes an update
     :param version: returns the version of the publication in force
     :param loads: loads to report
+    :param times: returns answers and their seconds by server since the last call
     :param channels: gRPC channels
     :param clock: source of time
     """
@@ -59,6 +60,7 @@
         "seeds",
         "settings",
         "term",
+        "times",
         "tries",
         "version",
     )
@@ -70,6 +72,7 @@
         apply: Callable[[fleet_pb2.FleetUpdate], None],
         version: Callable[[], int],
         loads: KeyLoads,
+        times: Callable[[], dict[str, tuple[int, float]]],
         channels: RpcChannels,
         clock: Clock,
     ) -> None:
@@ -78,6 +81,7 @@
         self.apply = apply
         self.version = version
         self.loads = loads
+        self.times = times
         self.channels = channels
         self.clock = clock
         #: Address of the leader that sends updates, empty while none does.
@@ -113,7 +117,16 @@
             await asyncio.sleep(REPORT_PERIOD)
             if not self.leader:
                 continue
-            request = fleet_pb2.EntryReport(entry=self.settings.name, loads=self.loads.take())
+            request = fleet_pb2.EntryReport(
+                entry=self.settings.name,
+                loads=self.loads.take(),
+                times=[
+                    fleet_pb2.ServerTime(
+                        identity=identity, answers=answers, milliseconds=round(seconds * 1000)
+                    )
+                    for identity, (answers, seconds) in self.times().items()
+                ],
+            )
             stub = fleet_pb2_grpc.FleetStub(self.channels.to(self.leader))
             try:
                 await stub.Report(request, timeout=REPORT_TIMEOUT)
--- a/packages/medlarpass/src/medlarpass/dispatch/concurrency_limiter.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/concurrency_limiter.py
@@ -24,6 +24,7 @@
 
     __slots__ = (
         "clock",
+        "floor",
         "in_flight",
         "limit",
         "mean",
@@ -39,6 +40,8 @@
         self.clock = clock
         self.slots = slots
         self.limit = float(slots)
+        #: Lower bound of the limit; the entry's fair part of the server where it is known.
+        self.floor = settings.least
         self.in_flight = 0
         self.mean: float | None = None
         self.recent = 0.0
@@ -111,7 +114,7 @@
         if self.reduced_at is not None and now - self.reduced_at < (self.mean or 0.0):
             return
         self.reduced_at = now
-        self.limit = max(self.limit * self.settings.decrease, self.settings.least)
+        self.limit = max(self.limit * self.settings.decrease, self.floor)
 
     def _pace(self) -> None:
         """Set the time of the next request so that the mean concurrency equals the limit."""
--- a/packages/medlarpass/src/medlarpass/ranges/__init__.py
+++ b/packages/medlarpass/src/medlarpass/ranges/__init__.py
@@ -9,6 +9,7 @@
 from medlarpass.ranges.range_planner import PlannerServer
 from medlarpass.ranges.range_planner import RangePlanner
 from medlarpass.ranges.range_table import RangeTable
+from medlarpass.ranges.server_speeds import ServerSpeeds
 
 __all__ = [
     "KEY_COUNT",
@@ -18,4 +19,5 @@
     "RangeLoads",
     "RangePlanner",
     "RangeTable",
+    "ServerSpeeds",
 ]
--- a/packages/medlarpass/src/medlarpass/ranges/range_planner.py
+++ b/packages/medlarpass/src/medlarpass/ranges/range_planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import sqrt
 from typing import TYPE_CHECKING
 
 from medlarpass.base import Value
@@ -17,6 +18,8 @@
 #: Highest over mean utilisation from which keys are moved; below it a move costs more than the
 #: unequal load.
 UNEQUAL = 1.25
+#: Standard deviations of a count by which it has to exceed the fair load.
+CHANCE = 2.0
 #: Most moves between servers in one plan.
 MOST_MOVES = 8
 #: Share of its fair load below which a server gets keys although no other one is overloaded.
@@ -122,7 +125,9 @@
     ) -> bool:
         if loads[calmest.identity] < SCARCE * level * calmest.weight:
             return True
-        return loads[busiest.identity] / busiest.weight > UNEQUAL * level
+        fair = level * busiest.weight
+        # Counts of few requests differ by chance.
+        return loads[busiest.identity] - fair > max((UNEQUAL - 1) * fair, CHANCE * sqrt(fair))
 
     def _server_loads(
         self, held: Iterable[RangeAssignment], servers: Sequence[PlannerServer]
--- /dev/null
+++ b/packages/medlarpass/src/medlarpass/ranges/server_speeds.py
@@ -0,0 +1,61 @@
+"""How fast servers answer in relation to each other."""
+
+from __future__ import annotations
+
+from statistics import median
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+#: Share of a sum that remains after a report period; speeds change more slowly than loads.
+DECAY = 0.9
+#: Answers from which a mean tells something.
+LEAST_ANSWERS = 5.0
+#: Bounds of a factor. The time of an answer includes its wait in the server's queue, so a factor
+#: far from 1 tells more about the load than about the speed.
+LEAST_FACTOR = 0.6
+MOST_FACTOR = 1.5
+#: Power that damps the ratio of times, so that a server that is only overloaded for a moment
+#: does not lose keys that come back a moment later.
+DAMPING = 0.5
+
+
+class ServerSpeeds:
+    """Decaying means of the time until a server answers."""
+
+    __slots__ = ("sums",)
+
+    def __init__(self) -> None:
+        #: Answers and their seconds by identity.
+        self.sums: dict[str, tuple[float, float]] = {}
+
+    def add(self, identity: str, answers: int, seconds: float) -> None:
+        """Add what one entry has seen."""
+        count, total = self.sums.get(identity, (0.0, 0.0))
+        self.sums[identity] = (count + answers, total + seconds)
+
+    def age(self) -> None:
+        """End a report period."""
+        self.sums = {
+            identity: (count * DECAY, total * DECAY)
+            for identity, (count, total) in self.sums.items()
+            if count * DECAY > 0.1
+        }
+
+    def factors(self, identities: Sequence[str]) -> list[float]:
+        """Return a factor for the weight of each server; 1 for one that is not known yet."""
+        means = [self._mean(identity) for identity in identities]
+        known = [mean for mean in means if mean is not None]
+        if not known:
+            return [1.0] * len(means)
+        usual = median(known)
+        return [1.0 if mean is None else _factor(usual, mean) for mean in means]
+
+    def _mean(self, identity: str) -> float | None:
+        count, total = self.sums.get(identity, (0.0, 0.0))
+        return total / count if count >= LEAST_ANSWERS and total > 0 else None
+
+
+def _factor(usual: float, mean: float) -> float:
+    return min(max(float((usual / mean) ** DAMPING), LEAST_FACTOR), MOST_FACTOR)
