--- /dev/null
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+import json
+
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from medlarpass.rpc import control_pb2
+from medlarpass_daemon.entry.callers.exceptions import RoutesUnknownError
+from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
+
+
+def publication(version: int, weights: dict[str, float]) -> control_pb2.Publish:
+    """Return a publication with one route."""
+    document: dict[str, Any] = {
+        "version": version,
+        "key_header": "Key",
+        "routes": [
+            {
+                "name": "art",
+                "host": "art.example",
+                "prefix": "/art/",
+                "class": "download",
+                "timeout": 1,
+                "target": 0.4,
+                "priority": 2,
+                "attempts": 2,
+                "shares": [{"pool": name, "weight": each} for name, each in weights.items()],
+            }
+        ],
+        "pools": [{"name": name, "owned": False, "connections": 10} for name in weights],
+        "limits": {},
+    }
+    return control_pb2.Publish(version=version, document=json.dumps(document).encode())
+
+
+def test_an_entry_without_routes_does_not_deny_them() -> None:
+    """Guards against 404 from an entry that has just started."""
+    with pytest.raises(RoutesUnknownError):
+        FleetRouting().matcher.find("art.example", "/art/7", "GET")
+
+
+def test_an_older_version_never_returns() -> None:
+    """Guards against an entry that goes back when it hears a replica that is behind."""
+    routing = FleetRouting()
+    assert routing.offer(publication(7, {"new": 1}))
+    assert not routing.offer(publication(6, {"old": 1}))
+    assert routing.revision == 7
+    assert list(routing.pools) == ["new"]
+
+
+@pytest.mark.parametrize(
+    "weights", [{"a": 90, "b": 10}, {"a": 1, "b": 1, "c": 1}, {"a": 0, "b": 3}]
+)
+def test_each_pool_gets_its_share(weights: dict[str, float]) -> None:
+    """Guards against shares that are off by chance over a few hundred requests."""
+    routing = FleetRouting()
+    routing.offer(publication(1, weights))
+    route = routing.matcher.find("art.example", "/art/7", "GET")
+    counts = Counter(routing.pool_of(route).name for _ in range(200))
+    total = sum(weights.values())
+    for name, weight in weights.items():
+        assert abs(counts[name] - 200 * weight / total) <= 1
+
+
+def test_shares_that_stay_keep_their_place() -> None:
+    """Guards against many small changes of the configuration that favour the first pool."""
+    routing = FleetRouting()
+    counts: Counter[str] = Counter()
+    for version in range(1, 201):
+        routing.offer(publication(version, {"a": 50, "b": 50}))
+        route = routing.matcher.find("art.example", "/art/7", "GET")
+        counts[routing.pool_of(route).name] += 1
+    assert counts["a"] == counts["b"] == 100
--- /dev/null
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_servers.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from medlarpass.publication import PublishedPool
+from medlarpass.ranges import RangeAssignment
+from medlarpass.rpc import fleet_pb2
+from medlarpass_daemon.entry.callers import NoOwnerError
+from medlarpass_daemon.entry.callers.exceptions import InvalidHeaderError
+from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
+from medlarpass_daemon.entry.fleet.fleet_servers import FleetServers
+from medlarpass_daemon.entry.fleet.key_loads import KeyLoads
+
+POOL = PublishedPool("stock", {"owned": True, "connections": 100})
+READY = fleet_pb2.SERVER_PHASE_READY
+RETIRED = fleet_pb2.SERVER_PHASE_RETIRED
+HELD = fleet_pb2.RANGE_PHASE_HELD
+MOVING = fleet_pb2.RANGE_PHASE_MOVING
+
+
+def server(
+    identity: str, life: int = 1, phase: fleet_pb2.ServerPhase = READY
+) -> fleet_pb2.FleetServer:
+    """Return a server of the pool."""
+    return fleet_pb2.FleetServer(
+        identity=identity, life=life, pool="stock", ip="10.0.0.1", port=80, slots=3, phase=phase
+    )
+
+
+def held(
+    first: int, last: int, identity: str, fence: int, phase: fleet_pb2.RangePhase = HELD
+) -> fleet_pb2.FleetRange:
+    """Return a range of keys."""
+    assignment = RangeAssignment("stock", first, last, identity, 1, fence)
+    return fleet_pb2.FleetRange(assignment=assignment.to_proto(), phase=phase)
+
+
+def update(
+    *servers: fleet_pb2.FleetServer, ranges: list[fleet_pb2.FleetRange] | None = None
+) -> fleet_pb2.FleetUpdate:
+    """Return an update of the leader."""
+    message = fleet_pb2.FleetUpdate(servers=servers)
+    if ranges is not None:
+        message.ranges.ranges.extend(ranges)
+    return message
+
+
+@pytest.fixture
+def known() -> FleetServers:
+    """Return an entry's knowledge of two servers that share the keys."""
+    made = FleetServers(FleetRouting(), KeyLoads())
+    ranges = [held(0, 99, "a", 1), held(100, 65_535, "b", 2)]
+    made.apply(update(server("a"), server("b"), ranges=ranges))
+    return made
+
+
+@pytest.mark.parametrize(("key", "owner"), [("0", "a"), ("99", "a"), ("100", "b"), ("65535", "b")])
+async def test_a_key_goes_to_the_holder_of_its_range(
+    known: FleetServers, key: str, owner: str
+) -> None:
+    """Guards against a request at the edge of a range that goes to its neighbour."""
+    assert known.owner_of(POOL, key).identity == owner
+
+
+@pytest.mark.parametrize("key", ["65536", "-1", "1.5", "x", ""])
+async def test_what_is_no_key_is_refused(known: FleetServers, key: str) -> None:
+    """Guards against a request that fails for a reason the caller is not told."""
+    with pytest.raises(InvalidHeaderError):
+        known.owner_of(POOL, key)
+
+
+async def test_a_moving_range_has_no_owner(known: FleetServers) -> None:
+    """Guards against requests to a server that is just giving its keys away."""
+    before = known.owner_of(POOL, "5")
+    known.apply(update(ranges=[held(0, 99, "a", 1, MOVING), held(100, 65_535, "b", 2)]))
+    with pytest.raises(NoOwnerError):
+        known.owner_of(POOL, "5")
+    assert not known.is_current(POOL, "5", before)
+
+
+async def test_a_new_fence_makes_an_old_target_stale(known: FleetServers) -> None:
+    """Guards against a request that was waiting while its key moved away and back."""
+    before = known.owner_of(POOL, "5")
+    assert known.is_current(POOL, "5", before)
+    known.apply(update(ranges=[held(0, 99, "a", 9), held(100, 65_535, "b", 2)]))
+    assert not known.is_current(POOL, "5", before)
+
+
+async def test_a_waiting_request_is_woken_by_a_change(known: FleetServers) -> None:
+    """Guards against a request that waits longer than the move of its key."""
+    waiting = asyncio.ensure_future(known.wait_for_change(3600))
+    await asyncio.sleep(0)
+    known.apply(update(ranges=[held(0, 65_535, "b", 3)]))
+    await asyncio.wait_for(waiting, 20)
+
+
+async def test_a_retired_life_stays_retired(known: FleetServers) -> None:
+    """Guards against work for a leaving server after a change of the leader."""
+    known.apply(update(server("a", phase=RETIRED)))
+    known.apply(update(server("a")))
+    assert [target.identity for target in known.usable("stock")] == ["b"]
+    known.apply(update(server("a", life=2)))
+    assert [target.identity for target in known.usable("stock")] == ["a", "b"]
+
+
+async def test_an_older_life_does_not_return(known: FleetServers) -> None:
+    """Guards against the address of an earlier start."""
+    known.apply(update(server("a", life=3)))
+    known.apply(update(server("a", life=2)))
+    assert known.servers["a"].life == 3
+
+
+async def test_keys_of_an_earlier_life_have_no_owner(known: FleetServers) -> None:
+    """Guards against requests to a server that restarted and holds nothing."""
+    known.apply(update(server("a", life=2)))
+    with pytest.raises(NoOwnerError):
+        known.owner_of(POOL, "5")
--- /dev/null
+++ b/tests/platform_adapter/test_whole_path.py
@@ -0,0 +1,123 @@
+"""The daemon's processes with the adapter, from callers to servers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+
+from typing import Any
+
+
+async def test_each_kind_of_request_is_served(system: Any) -> None:
+    """Guards against a path that works in its parts only."""
+    holders = {(await system.until_served("/stock/7", key=key))[1][:3] for key in (5, 65_000)}
+    assert holders == {"i-1", "i-2"}
+    status, body, headers = await system.ask("/orders/9", "POST", data="a roll", request_id="x1")
+    assert (status, body) == (200, "i-3 /orders/9 a roll")
+    assert headers["Medlarpass-Server-Signature"] == "3e1b"
+    assert headers["Medlarpass-Attempt-Id"] == "x1"
+    assert (await system.ask("/art/3"))[1] == "i-4 /art/3 "
+    assert (await system.ask("/none/3"))[0] == 404
+
+
+async def test_a_confirmed_leave_ends_new_work(system: Any) -> None:
+    """Guards against requests to a server whose leave was confirmed."""
+    leaving = next(server for server in system.servers if server.holds(5))
+    leaving.state = "draining"
+    await system.until_true(leaving.say, bool)
+    await system.until_true(
+        lambda: system.ask("/stock/7", key=5),
+        lambda got: got[0] == 200 and not got[1].startswith(leaving.identity),
+    )
+    ran = len(leaving.ran)
+    for key in range(0, 65_536, 4_096):
+        assert (await system.until_served("/stock/7", key=key))[0] == 200
+    assert len(leaving.ran) == ran
+
+
+async def test_the_newest_publication_survives_the_leader(system: Any) -> None:
+    """Guards against a confirmed configuration that is lost with the replica that took it."""
+    await system.publish(2)
+    leader = await leader_of(system)
+    process = system.processes[leader]
+    process.send_signal(signal.SIGKILL)
+    await process.wait()
+    _, text = await system.until_true(
+        lambda: system.control("config.get", {}), lambda got: got[0] == 200
+    )
+    assert json.loads(text)["version"] == "r2"
+    await system.publish(3)
+    for path in ("/stock/7", "/orders/7", "/art/7"):
+        await system.until_served(path, key=9)
+
+
+async def test_a_lost_disk_joins_again(system: Any) -> None:
+    """Guards against a replica that stays out, or votes twice, after it lost its disk."""
+    leader = await leader_of(system)
+    name = next(each for each in ("control-0", "control-1", "control-2") if each != leader)
+    process = system.processes[name]
+    process.send_signal(signal.SIGKILL)
+    await process.wait()
+    (system.folder / name).rename(system.folder / f"{name}-lost")
+    await system.start_process(name, f"127.0.0.1{int(name[-1]) + 1}")
+    await system.until_true(
+        lambda: asyncio.sleep(0, events(system, name)), lambda got: "replica_joined" in got
+    )
+    await system.until_true(
+        lambda: asyncio.sleep(0, events(system, leader)), lambda got: "learner_promoted" in got
+    )
+
+
+async def test_a_stop_of_the_entry_finishes_what_runs(system: Any) -> None:
+    """Guards against a planned stop that cuts off an order."""
+    server = next(server for server in system.servers if server.pool == "orders")
+    server.delay = 1.0
+    order = asyncio.create_task(system.ask("/orders/1", "POST", data="x", request_id="last"))
+    await system.until_true(lambda: asyncio.sleep(0, server.ran), lambda ran: "last" in ran)
+    process = system.processes["entry"]
+    process.send_signal(signal.SIGHUP)
+    process.send_signal(signal.SIGTERM)
+    assert (await order)[0] == 200
+    assert await asyncio.wait_for(process.wait(), 60) == 0
+
+
+async def test_the_log_leads_from_a_refused_request_to_its_cause(system: Any) -> None:
+    """Guards against a refusal that on-call engineers can't explain."""
+    server = next(server for server in system.servers if server.pool == "art")
+    await server.stop()
+    status, _, headers = await system.ask("/art/5", request_id="lost-art")
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    await system.until_true(
+        lambda: asyncio.sleep(0, story(system, "lost-art")), lambda got: len(got) >= 2
+    )
+    attempt, *_, end = story(system, "lost-art")
+    assert attempt["message_type"] == "medlarpass:attempt_failed"
+    assert (attempt["server"], attempt["code"]) == (server.identity, "server_unreachable")
+    assert (end["outcome"], end["pool"]) == ("not-run", "art")
+
+
+async def leader_of(system: Any) -> str:
+    """Return the name of the process that leads control."""
+
+    async def look() -> list[str]:
+        newest: list[tuple[int, str]] = []
+        for name in ("control-0", "control-1", "control-2"):
+            for line in system.log_of(name):
+                if line["message_type"] == "medlarpass:range_keeper_started":
+                    newest.append((line["term"], name))
+        return [name for _, name in sorted(newest)]
+
+    found: list[str] = await system.until_true(look, bool)
+    return found[-1]
+
+
+def events(system: Any, name: str) -> set[str]:
+    """Return the names of the events that a process has logged."""
+    return {line["message_type"].removeprefix("medlarpass:") for line in system.log_of(name)}
+
+
+def story(system: Any, request_id: str) -> list[dict[str, Any]]:
+    """Return the lines of the entry's log about a request."""
+    return [line for line in system.log_of("entry") if line.get("request_id") == request_id]
