--- a/tests/documents/test_reference_documents.py
+++ b/tests/documents/test_reference_documents.py
@@ -59,7 +59,7 @@
     """Guards against an operator who follows the page in an incident and meets a usage error."""
     from medlarpass_cli.commands import COMMANDS
 
-    text = (rows.ROOT / "docs/operations.md").read_text()
+    text = (rows.ROOT / "docs/OPERATIONS.md").read_text()
     lines = [call for call in re.findall(r"`medlarpass ([^`]+)`", text) if call[0].islower()]
     lines += re.findall(r"^\$ medlarpass --control \S+ (.+)$", text, re.M)
     by_name = {command.name: command for command in COMMANDS}
--- a/tools/documents/rows.py
+++ b/tools/documents/rows.py
@@ -185,7 +185,7 @@
     ("docs/errors.md", "Errors"): error_rows,
     ("docs/errors.md", "Exit statuses"): exit_status_rows,
     ("docs/events.md", "Events"): event_rows,
-    ("docs/operations.md", "Metrics"): metric_rows,
+    ("docs/OPERATIONS.md", "Metrics"): metric_rows,
 }
 
 
