Send a request to no more servers than its route allows

Cause: the number of attempts was the same for all routes, 3, while a route of the users' machines names its own, usually 2; a download whose answers were lost could run on three servers. Three settings of the retry budget were read and not used.

Change: a route has its attempts; the retry budget takes half of the platform's ratio; the two settings without a use are gone. Retry-After follows the cause: 0.5 s where a key has no owner or a server can't be reached, 0.3 s when all are busy.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from medlarpass.dispatch import FairShare
+from medlarpass.dispatch import RetryBudgetSettings
 from medlarpass.dispatch import RouteShare
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.route_state import RouteState
@@ -23,21 +24,25 @@
 
     :param capacity: concurrent requests of all routes
     :param clock: source of time
+    :param budget: settings of the retry budgets of the routes
     """
 
-    __slots__ = ("clock", "queued", "routes", "share")
+    __slots__ = ("budget", "clock", "queued", "routes", "share")
 
-    def __init__(self, capacity: int, clock: Clock) -> None:
+    def __init__(
+        self, capacity: int, clock: Clock, budget: RetryBudgetSettings | None = None
+    ) -> None:
         self.clock = clock
         self.routes: dict[str, RouteState] = {}
         self.share = FairShare(capacity, ())
         self.queued = 0
+        self.budget = budget or RetryBudgetSettings()
 
     def state_of(self, route: Route) -> RouteState:
         """Return the state of a route, which is created or updated when needed."""
         state = self.routes.get(route.name)
         if state is None:
-            state = RouteState(route, self.clock)
+            state = RouteState(route, self.clock, self.budget)
             self.routes[route.name] = state
             self._reshare()
         elif state.route is not route:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -10,6 +10,7 @@
 
 from medlarpass import MedlarpassError
 from medlarpass import Outcome
+from medlarpass.dispatch import RetryBudgetSettings
 
 # Imported for their handlers.
 from medlarpass_daemon.entry.callers import download_flow  # noqa: F401
@@ -41,6 +42,9 @@
 
 #: Seconds between two looks at what is still in flight.
 FINISH_STEP = 0.05
+#: Share of the platform's ratio that an entry uses. The ratio holds for a pool as a whole, while
+#: an entry counts by route and can't see what is on its way through the others.
+RETRY_SHARE = 0.5
 #: Route label of requests without route.
 NO_ROUTE = "-"
 
@@ -99,6 +103,7 @@
             self.metrics,
             dialect or OwnDialect(),
             settings.domain,
+            _retry_budget(settings),
         )
         self.metrics.queued.set_function(lambda: self.path.admission.queued)
         #: Requests whose answer has not been written as a whole.
@@ -260,6 +265,13 @@
         )
 
 
+def _retry_budget(settings: DaemonSettings) -> RetryBudgetSettings:
+    """Return the settings of the retry budgets of an entry's routes."""
+    if settings.fleet is None:
+        return RetryBudgetSettings()
+    return RetryBudgetSettings(ratio=settings.fleet.retry_ratio * RETRY_SHARE)
+
+
 def _known(error: Exception, request_id: str) -> MedlarpassError:
     if isinstance(error, MedlarpassError):
         return error
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -44,6 +44,8 @@
 
     code = "no_owner"
     http_status = 503
+    # A range moves within a fraction of a second; the keys of a lost server take longer.
+    retry_after = 0.5
 
 
 class DeadlineExceededError(CallerError):
@@ -72,6 +74,8 @@
 
     code = "servers_busy"
     http_status = 503
+    # About the time in which a full server works off its queue.
+    retry_after = 0.3
 
 
 class ServerUnreachableError(CallerError):
@@ -79,6 +83,7 @@
 
     code = "server_unreachable"
     http_status = 503
+    retry_after = 0.5
 
 
 class ServerRefusedError(CallerError):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
@@ -16,6 +16,7 @@
     from collections.abc import Set
 
     from medlarpass import Clock
+    from medlarpass.dispatch import RetryBudgetSettings
     from medlarpass_daemon.entry.callers.dialect import Dialect
     from medlarpass_daemon.entry.callers.interfaces import OrderClaims
     from medlarpass_daemon.entry.callers.interfaces import OwnerDirectory
@@ -39,6 +40,7 @@
     :param metrics: metrics of the request path
     :param dialect: headers and answers of the deployment
     :param domain: failure domain of this entry
+    :param budget: settings of the retry budgets of the routes
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         metrics: CallersMetrics,
         dialect: Dialect,
         domain: str,
+        budget: RetryBudgetSettings,
     ) -> None:
         self.settings = settings
         self.routing = routing
@@ -82,7 +85,7 @@
         self.metrics = metrics
         self.dialect = dialect
         self.domain = domain
-        self.admission = Admission(settings.concurrency, clock)
+        self.admission = Admission(settings.concurrency, clock, budget)
         self.places = ServerPlaces(peer_loads, clock, settings.place_wait)
         self.client = ServerClient(settings)
         self.recorder = ClaimRecorder(claims)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/route_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/route_state.py
@@ -23,17 +23,20 @@
 
     :param route: the route in force
     :param clock: source of time
+    :param budget: settings of the retry budget
     """
 
     __slots__ = ("in_flight", "queue", "retries", "route")
 
-    def __init__(self, route: Route, clock: Clock) -> None:
+    def __init__(self, route: Route, clock: Clock, budget: RetryBudgetSettings) -> None:
         self.route = route
         self.in_flight = 0
         self.queue: DeadlineQueue[asyncio.Future[None]] = DeadlineQueue(
             QueueSettings(limit=route.queue), clock
         )
-        self.retries = RetryPolicy(RetrySettings(), RetryBudget(RetryBudgetSettings(), clock))
+        self.retries = RetryPolicy(
+            RetrySettings(attempts=route.attempts), RetryBudget(budget, clock, route.name)
+        )
 
     @property
     def has_room(self) -> bool:
@@ -44,3 +47,4 @@
         """Put a newer version of the route in force."""
         self.route = route
         self.queue.settings = QueueSettings(limit=route.queue)
+        self.retries.settings = RetrySettings(attempts=route.attempts)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
@@ -28,8 +28,6 @@
         "hold",
         "listener",
         "retry_ratio",
-        "retry_slack",
-        "retry_window",
         "seeds",
         "silent_after",
     )
@@ -51,10 +49,6 @@
         self.hold: float = min(document["hold"], document["longest_hold"])
         #: Requests that may be sent again, in relation to all requests of a pool.
         self.retry_ratio: float = document["retry_ratio"]
-        #: Time over which requests sent again are counted.
-        self.retry_window: float = document["retry_window"]
-        #: Requests that all entries together may send again beyond the ratio.
-        self.retry_slack: int = document["retry_slack"]
 
     def load_adapter(self) -> Adapter:
         """Return the adapter of the platform.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -172,9 +172,7 @@
     vol.Required("heartbeat"): duration("100ms", "60s"),
     vol.Optional("hold", default="6s"): duration("500ms", "60s"),
     vol.Optional("longest_hold", default="60s"): duration("500ms", "60s"),
-    vol.Optional("retry_ratio", default=0.1): ratio,
-    vol.Optional("retry_window", default="10s"): duration("1s", "10min"),
-    vol.Optional("retry_slack", default=0): count(0, 1_000_000),
+    vol.Optional("retry_ratio", default=0.2): ratio,
     vol.Optional("silent_after", default=3): count(1, 100),
 }
 
--- a/packages/medlarpass/src/medlarpass/exceptions.py
+++ b/packages/medlarpass/src/medlarpass/exceptions.py
@@ -21,7 +21,7 @@
     code: ClassVar[str] = "internal_error"
     http_status: ClassVar[int] = 500
     outcome: ClassVar[Outcome] = Outcome.UNKNOWN
-    retry_after: float = 0.2
+    retry_after: ClassVar[float] = 0.2
 
     def __init__(self, message: str) -> None:
         super().__init__(message)
--- a/packages/medlarpass/src/medlarpass/tables/route.py
+++ b/packages/medlarpass/src/medlarpass/tables/route.py
@@ -15,6 +15,9 @@
 from medlarpass.tables.schema import parsed
 from medlarpass.tables.schema import validated
 
+#: Servers that a request may be sent to, unless its route says otherwise.
+DEFAULT_ATTEMPTS = 3
+
 
 class Route(Value):
     """A route of the table.
@@ -36,6 +39,8 @@
         "queue",
         "request_class",
     )
+    #: Servers that one request may be sent to at most.
+    attempts: int = DEFAULT_ATTEMPTS
     #: Whether requests to pools without owned keys may lack the key.
     is_key_optional: ClassVar[bool] = False
 
