Let a new leader apply the whole log before it looks for free keys

Cause: the range keeper began once its leadership was established, whether or not the newest records were applied. Assignments that were missing then looked free and could be given to another server while their holder still held them.

Change: the keeper waits for the index that the read index returned.

Result: a test with a log that is applied late fails without the change and passes with it.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -124,10 +124,12 @@
         """Grant ranges whenever this replica leads."""
         while True:
             try:
-                await self.log.replica.read_index()
+                index = await self.log.replica.read_index()
             except NotLeaderError:
                 await asyncio.sleep(STEP)
                 continue
+            # A table that lacks the newest assignments would show held keys as free.
+            await self.log.replica.wait_applied(index)
             await self._lead()
 
     async def _lead(self) -> None:
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -89,6 +89,31 @@
     assert until == [grant.until for server in world.servers.values() for grant in server.grants]
 
 
+async def test_a_new_leader_waits_for_the_whole_log(new_world: Any) -> None:
+    """Guards against keys that look free because the newest records are not applied yet."""
+    world = new_world(3)
+    command = control_pb2.Command(
+        assign_ranges=control_pb2.AssignRanges(
+            assignments=[control_pb2.RangeAssignment(pool="stock", last=9, identity="s1", life=1)]
+        )
+    )
+
+    async def read_index() -> int:
+        return 1
+
+    async def wait_applied(index: int) -> None:
+        await world.log.propose(command)
+        world.log.replica.is_leader = False
+
+    world.log.replica.read_index = read_index
+    world.log.replica.wait_applied = wait_applied
+    running = asyncio.create_task(world.keeper.run())
+    for _ in range(20):
+        await asyncio.sleep(0)
+    running.cancel()
+    assert not world.keeper.book.is_over(world.state.ranges.last_fence)
+
+
 @pytest.mark.parametrize("seed", range(12))
 async def test_random_faults_never_give_a_key_two_holders(new_world: Any, seed: int) -> None:
     """Guards against orders of loss, delay, restart, cut and leader change nobody thought of."""
