Let the test of a late log end

The fault is in the test: a real read index waits for a quorum round.

Change: the replica of the test refuses the read index once it no longer leads.

--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
 
 #: Seconds of a hold in the world of these tests.
@@ -124,6 +125,8 @@
     )
 
     async def read_index() -> int:
+        if not world.log.replica.is_leader:
+            raise NotLeaderError(None)
         return 1
 
     async def wait_applied(index: int) -> None:
@@ -136,6 +139,7 @@
     for _ in range(20):
         await asyncio.sleep(0)
     running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
     assert not world.keeper.book.is_over(world.state.ranges.last_fence)
 
 
