Wait for every control replica before the first change of a test system

Cause: the six tests in KNOWN-RED.txt share a fixture whose first change goes to control-a1. The test system counted as started once a leader was known. The product is not at fault.

Change: the start waits until each replica answers operators.

--- a/tools/bench/cluster.py
+++ b/tools/bench/cluster.py
@@ -146,13 +146,17 @@
         self.groups[name] = StandinGroup(name, domain, pool, identities, process)
 
     def start(self) -> None:
-        """Start everything and wait until the control log has a leader."""
+        """Start everything and wait until the control log has a leader and every replica answers.
+
+        A majority may elect the leader while another replica still starts, and calls go to any.
+        """
         for node in self.nodes:
             self._prepare(node)
         self.ports.release()
         for node in self.nodes:
             node.child.start()
         eventually("a control leader is elected", self.leader)
+        eventually("all control replicas answer", self.all_answer)
         for group in self.groups.values():
             group.process.start()
 
@@ -182,6 +186,11 @@
                     return next(each for each in self.control if each.name == replica["name"])
         return None
 
+    def all_answer(self) -> bool:
+        """Return whether each control replica answers operators."""
+        answers = [call("GET", node.front, "/v1/replicas", timeout=2) for node in self.control]
+        return all(answer is not None and answer.status == 200 for answer in answers)
+
     def change(
         self, change_id: str, items: list[dict[str, Any]], node: Node | None = None
     ) -> HttpAnswer:
