Move hot keys after a change of leader without a gap

A new leader presumes that grants of the old one are on their way, so a release frees keys only 6 s later; it moved keys all the same, 1.1 s after its election, some of them by the first reports alone. Keys of servers that had ended in such a move waited as well, and range_lost was logged ten times a second for them.

Change: keys with such a grant are first granted under a higher fence to their holder, which refuses late grants from then on; only then they move. A new leader takes reports for 2 s before it judges the balance. Keys in a failed move are free once their server has ended. A loss is logged once. The stand-in servers of the keeper's tests remember the fences that they saw, as the protocol says.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -45,6 +45,9 @@
 BALANCE_PERIOD = 0.5
 #: Seconds for which loads are counted together.
 LOAD_PERIOD = 0.5
+#: Seconds for which a new leader takes reports before it judges the balance; without them all keys
+#: look alike and busy servers would get more.
+LOADS_AFTER = 2.0
 #: Renewals within one hold; several may be lost before the keys are.
 RENEWALS = 4
 
@@ -228,7 +231,7 @@
                 del self.released[key]
                 self._end_moving(*key)
             return
-        if self.is_balance_due and not self.moves:
+        if self.is_balance_due and not self.moves and self._knows_loads():
             planner = RangePlanner(pool, self.fleet.loads_of(pool))
             for part in planner.balance(held, servers):
                 self._begin_move(held, part)
@@ -237,6 +240,9 @@
         wait = ASSEMBLE_PERIODS * self.settings.heartbeat
         return self.clock.now() - self.led_since >= wait
 
+    def _knows_loads(self) -> bool:
+        return self.clock.now() - self.led_since >= LOADS_AFTER
+
     def _servers(self, pool: str) -> list[PlannerServer]:
         notices = [
             member.notice
@@ -265,6 +271,7 @@
                 continue
             if self._has_ended(each):
                 self._lost(each, "ended")
+                self._free_released(each)
             elif not self.book.is_over(each.fence):
                 continue
             else:
@@ -274,6 +281,13 @@
         free.extend(key[1:] for key in self._released_keys(pool))
         return sorted(free)
 
+    def _free_released(self, assignment: RangeAssignment) -> None:
+        """Let keys in a move of a server that has ended wait for its hold no longer."""
+        now = self.clock.now()
+        for key, until in self.released.items():
+            if key[0] == assignment.pool and assignment.overlaps(key[1], key[2]):
+                self.released[key] = min(until, now)
+
     def _released_keys(self, pool: str) -> list[tuple[str, int, int]]:
         now = self.clock.now()
         return [key for key, until in self.released.items() if key[0] == pool and until <= now]
@@ -282,6 +296,8 @@
         return self.fleet.directory.has_ended(assignment.identity, assignment.life)
 
     def _lost(self, assignment: RangeAssignment, reason: str) -> None:
+        if assignment.fence in self.ended:
+            return
         self.book.end(assignment.fence)
         self.ended.add(assignment.fence)
         self.fleet.confirmed.discard(assignment.fence)
@@ -294,8 +310,13 @@
             reason=reason,
         )
 
-    async def _assign(self, assignments: list[RangeAssignment], handover: str = "") -> None:
-        """Write assignments to the log and grant them."""
+    async def _assign(
+        self, assignments: list[RangeAssignment], handover: str = "", stays: bool = False
+    ) -> None:
+        """Write assignments to the log and grant them.
+
+        :param stays: whether the keys stay at their holders and only the fence changes
+        """
         if not assignments:
             return
         command = control_pb2.Command(
@@ -311,6 +332,10 @@
             term=self.term,
             ranges=[[each.first, each.last, each.identity, each.fence] for each in granted],
         )
+        if stays:
+            for old, new in zip(assignments, granted, strict=True):
+                self.book.carry(old.fence, new.fence)
+                self.fleet.confirmed.add(new.fence)
         self.fleet.ranges_changed()
         for each in granted:
             self.pending.add(each.fence)
@@ -318,7 +343,8 @@
 
     async def _grant_first(self, assignment: RangeAssignment, handover: str) -> None:
         try:
-            await self._grant(assignment, handover)
+            if await self._grant(assignment, handover):
+                self.book.settle(assignment.fence)
         finally:
             self.pending.discard(assignment.fence)
 
@@ -332,22 +358,26 @@
                 continue
             for part in self.fleet.parts_at_rest(assignment):
                 if self.renewed_at.get((part.fence, part.first), 0.0) <= due:
-                    self._spawn(self._grant(part))
+                    self._spawn(self._renew_grant(part))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _grant(self, assignment: RangeAssignment, handover: str = "") -> None:
+    async def _renew_grant(self, assignment: RangeAssignment) -> None:
+        await self._grant(assignment)
+
+    async def _grant(self, assignment: RangeAssignment, handover: str = "") -> bool:
+        """Send a grant and return whether the server took it."""
         key = (assignment.fence, assignment.first)
         self.renewed_at[key] = self.clock.now()
         member = self.fleet.directory.members.get(assignment.identity)
         if member is None or member.notice.life != assignment.life:
-            return
+            return False
         async with self.locks.setdefault(assignment.identity, asyncio.Lock()):
             if not self.has_lease or not self._is_in_force(assignment):
-                return
+                return False
             before = self.book.held_until.get(assignment.fence, 0.0)
             self.book.sending(assignment.fence, GRANT_TIMEOUT)
             try:
@@ -367,6 +397,8 @@
             else:
                 self.book.answered(assignment.fence)
                 self._grant_succeeded(assignment)
+                return True
+        return False
 
     def _is_in_force(self, assignment: RangeAssignment) -> bool:
         """Return whether the log still has the whole assignment and none of it is moving."""
@@ -431,7 +463,11 @@
             if not each.overlaps(target.first, target.last):
                 continue
             first, last = max(each.first, target.first), min(each.last, target.last)
-            if self.fleet.overlaps_moving(each.pool, first, last):
+            if self.fleet.overlaps_moving(each.pool, first, last) or each.fence in self.pending:
+                continue
+            if not self.book.is_certain(each.fence) and each.identity not in self.failing:
+                # A release would leave the keys without a holder until the late grant is over.
+                self._refence(each)
                 continue
             key = (each.pool, first, last)
             self.fleet.moving.setdefault(each.pool, set()).add((first, last))
@@ -445,6 +481,22 @@
             task.add_done_callback(partial(self._move_ended, key))
         self.fleet.ranges_changed()
 
+    def _refence(self, assignment: RangeAssignment) -> None:
+        """Grant keys under a higher fence to their holder, which ends the power of late grants."""
+        self.pending.add(assignment.fence)
+        self._spawn(self._refence_at_rest(assignment))
+
+    async def _refence_at_rest(self, assignment: RangeAssignment) -> None:
+        try:
+            await self._assign(self.fleet.parts_at_rest(assignment), stays=True)
+        except MedlarpassError as error:
+            # The old fence stays in force; the next look at the balance tries again.
+            events.REFENCE_FAILED.log(
+                server=assignment.identity, fence=assignment.fence, code=error.code
+            )
+        finally:
+            self.pending.discard(assignment.fence)
+
     async def _move(self, part: RangeAssignment, target: RangeAssignment) -> None:
         key = (part.pool, part.first, part.last)
         held_until = self.book.held_until.get(part.fence, 0.0)
--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -56,6 +56,8 @@
         self.is_up = True
         self.is_cut = False
         self.grants: list[Grant] = []
+        #: First key, last key and fence of all calls that this life has seen.
+        self.seen: list[tuple[int, int, int]] = []
         self.late: list[tuple[float, RangeAssignment, float]] = []
 
     def notice(self, is_leaving: bool = False) -> ServerNotice:
@@ -80,17 +82,19 @@
     def apply(self, assignment: RangeAssignment, until: float) -> None:
         newest = max(
             (
-                each.fence
-                for each in self.grants
-                if each.first <= assignment.last and assignment.first <= each.last
+                fence
+                for first, last, fence in self.seen
+                if first <= assignment.last and assignment.first <= last
             ),
             default=0,
         )
         if newest > assignment.fence:
             raise HigherFenceError(self.identity)
+        self.seen.append((assignment.first, assignment.last, assignment.fence))
         self.grants.append(Grant(assignment, until))
 
     def release(self, assignment: RangeAssignment) -> None:
+        self.seen.append((assignment.first, assignment.last, assignment.fence))
         kept = []
         for each in self.grants:
             if each.last < assignment.first or assignment.last < each.first:
@@ -128,6 +132,7 @@
         self.life += 1
         self.sequence = 0
         self.grants = []
+        self.seen = []
         self.late = []
         self.is_up = True
 
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -102,6 +102,63 @@
     assert world.unheld() == 0
 
 
+async def _spread_keys_of(world: Any, identity: str) -> Any:
+    """Load the keys of a server for 3 s and return the range that it held before."""
+    hot = next(each for each in world.state.ranges.all() if each.identity == identity)
+    buckets = range(hot.first // 8 + 1, hot.last // 8, 8)
+    for _ in range(30):
+        world.fleet.loads_of("stock").add(buckets, [5] * len(buckets))
+        await world.run(0.1)
+        assert world.unheld() == 0
+    return hot
+
+
+async def test_a_new_leader_moves_hot_keys_without_a_gap(new_world: Any) -> None:
+    """Guards against keys that wait for a hold after a leader change (scale-1, bls-gateway).
+
+    The new leader can't know which grants of the old one are still on the way. It released keys
+    all the same and then had to wait until such a grant would be over.
+    """
+    world = new_world(6)
+    await world.run(2)
+    world.change_leader()
+    hot = await _spread_keys_of(world, "s1")
+    holders = {
+        each.identity for each in world.state.ranges.all() if each.overlaps(hot.first, hot.last)
+    }
+    assert len(holders) > 1
+
+
+async def test_a_new_leader_does_not_judge_by_the_first_report(new_world: Any) -> None:
+    """Guards against moves before all entries have told a new leader what is busy."""
+    world = new_world(6)
+    await world.run(2)
+    before = [each.identity for each in world.state.ranges.all()]
+    world.change_leader()
+    world.fleet.loads_of("stock").add(range(8), [5] * 8)
+    await world.run(1.5)
+    assert [each.identity for each in world.state.ranges.all()] == before
+
+
+async def test_keys_of_a_failed_move_are_free_once_their_server_has_ended(new_world: Any) -> None:
+    """Guards against a wait for the hold of a server that is proven to have ended.
+
+    Its keys were in a move whose release had failed.
+    """
+    world = new_world(6)
+    await world.run(2)
+    world.servers["s1"].is_cut = True
+    retire = control_pb2.RetireServer(identity="s1", life=1)
+    await world.log.propose(control_pb2.Command(retire_server=retire))
+    world.fleet.directory.retire("s1", 1)
+    await world.run(0.5)
+    assert world.keeper.released
+    world.servers["s1"].restart()
+    world.servers["s1"].is_cut = False
+    await world.run(0.5)
+    assert world.unheld() == 0
+
+
 async def test_a_deposed_leader_sends_nothing(new_world: Any) -> None:
     """Guards against renewals by a leader whose keys another one has given away."""
     world = new_world(3)
--- a/packages/medlarpass/src/medlarpass/ranges/hold_book.py
+++ b/packages/medlarpass/src/medlarpass/ranges/hold_book.py
@@ -65,6 +65,22 @@
         self.uncertain_until[fence] = max(until, self.uncertain_until.get(fence, 0.0))
         self.held_until[fence] = max(until, self.held_until.get(fence, 0.0))
 
+    def carry(self, old: int, new: int) -> None:
+        """Begin a higher fence for keys that stay at their holder.
+
+        Until the holder answers to the new fence, it may still hold the keys under the old one.
+        """
+        self.held_until[new] = self.held_until.get(old, 0.0)
+        self.uncertain_until[new] = self.uncertain_until.get(old, 0.0)
+
+    def settle(self, fence: int) -> None:
+        """Note that the first grant of a fence was answered.
+
+        The server refuses a late grant under a lower fence from now on.
+        """
+        self.uncertain_until.pop(fence, None)
+        self.answered(fence)
+
     def is_certain(self, fence: int) -> bool:
         """Return whether a release by the server ends its hold: no grant is on the way."""
         return self.uncertain_until.get(fence, 0.0) <= self.clock.now()
