Limit requests to a shared server by the aim of their route

An entry sees an answer of one server about once a second, so a limit that fell after refusals needed a minute to rise by one. Refused callers came back after 0.3 s and were then late.

A refusal by a server whose queue is short lowers nothing, and one more try goes to it within attempts and budget. Retry-After is 0.1 s for busy servers. An entry uses 0.9 of the ratio of retries; the platform's slack is still unused.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -134,8 +134,11 @@
                 lambda: path.places.near(path.servers.usable(pool), path.domain, tried),
                 tried,
                 request.deadline,
+                request.route.target,
             )
-        return await path.places.take(lambda: path.servers.usable(pool), tried, request.deadline)
+        return await path.places.take(
+            lambda: path.servers.usable(pool), tried, request.deadline, request.route.target
+        )
     key = request.owned_key
     owner = await _owner(path, request, key)
 
@@ -145,7 +148,7 @@
             raise KeyMovedError("the key moved while the request waited for its owner")
         return (owner,)
 
-    return await path.places.take(owner_only, frozenset(), request.deadline)
+    return await path.places.take(owner_only, frozenset(), request.deadline, request.route.target)
 
 
 async def _owner(path: RequestPath, request: CallerRequest, key: str) -> Target:
@@ -228,8 +231,8 @@
         return request.remaining > 0
     if not isinstance(error, ServerUnreachableError | ServerRefusedError | AnswerLostError):
         return False
-    if request.owned_key is not None and _is_owner_busy(error):
-        # There is no other server to try, and the same one has just refused.
+    if request.owned_key is not None and _is_owner_busy(path, request, error):
+        # There is no other server to try, and the same one would refuse again.
         return False
     if _is_rerouting(error):
         await path.owners.wait_for_change(min(path.settings.owner_wait, request.remaining))
@@ -238,10 +241,13 @@
     return decision is RetryDecision.RETRY
 
 
-def _is_owner_busy(error: MedlarpassError) -> bool:
+def _is_owner_busy(path: RequestPath, request: CallerRequest, error: MedlarpassError) -> bool:
     if isinstance(error, ServerUnreachableError):
         return True
-    return isinstance(error, ServerRefusedError) and error.refusal not in REROUTING
+    if not isinstance(error, ServerRefusedError) or error.refusal in REROUTING:
+        return False
+    # A server that refuses although its queue is short may take the next try.
+    return request.target is None or not path.places.is_queue_short(request.target.identity)
 
 
 def _is_rerouting(error: MedlarpassError) -> bool:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -42,9 +42,9 @@
 
 #: Seconds between two looks at what is still in flight.
 FINISH_STEP = 0.05
-#: Share of the platform's ratio that an entry uses. The ratio holds for a pool as a whole, while
-#: an entry counts by route and can't see what is on its way through the others.
-RETRY_SHARE = 0.5
+#: Share of the platform's ratio that an entry uses. The ratio holds for a pool as a whole over a
+#: window, while an entry counts by route and its windows begin at other times.
+RETRY_SHARE = 0.9
 #: Route label of requests without route.
 NO_ROUTE = "-"
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -74,8 +74,8 @@
 
     code = "servers_busy"
     http_status = 503
-    # About the time in which a full server works off its queue.
-    retry_after = 0.3
+    # A server with several slots ends a request about this often.
+    retry_after = 0.1
 
 
 class ServerUnreachableError(CallerError):
@@ -94,6 +94,8 @@
 
     code = "server_refused"
     http_status = 503
+    # As for a busy server: later, the answer would be too late for its caller.
+    retry_after = 0.1
 
     def __init__(self, refusal: str) -> None:
         super().__init__(f"the server refused the request before running it: {refusal}")
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -17,6 +17,7 @@
 from medlarpass.dispatch import EjectorSettings
 from medlarpass.dispatch import LimiterSettings
 from medlarpass.dispatch import NoServerError
+from medlarpass.dispatch import SharedServerLimiter
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
 from medlarpass_daemon.entry.callers.exceptions import ServerUnreachableError
@@ -39,7 +40,7 @@
 LOOK_AGAIN = 0.05
 #: Requests for each slot of a server that its entries may always have in flight together: those
 #: that run, and a queue that is worked off within the usual target.
-FAIR_DEPTH = 2.5
+FAIR_DEPTH = 2.0
 #: Seconds for which a server gets nothing after a connection to it could not be opened.
 UNREACHABLE_PAUSE = 0.3
 #: A server is taken for stalled when it owes at least this many answers, ...
@@ -93,12 +94,18 @@
         self.waiting: dict[str, dict[asyncio.Future[None], None]] = {}
 
     async def take(
-        self, candidates: Callable[[], Sequence[Target]], tried: Set[str], deadline: float
+        self,
+        candidates: Callable[[], Sequence[Target]],
+        tried: Set[str],
+        deadline: float,
+        aim: float | None = None,
     ) -> Place:
         """Return a place at the best server, waiting for room when all are busy.
 
         :param candidates: returns the servers that may be chosen at present
         :param tried: identities that earlier attempts used; avoided while there are others
+        :param deadline: reading of the clock when the answer is due
+        :param aim: seconds within which an answer is worth most, where that is known
         :raises NoServerError: when there is no candidate
         :raises DeadlineExceededError: when the deadline passed during the wait
         :raises ServersBusyError: when the longest wait is over
@@ -112,6 +119,7 @@
                 raise NoServerError("no server of the pool may get new work")
             place = self._try(targets, tried, has_waited)
             if place is not None:
+                place.limiter.aim = aim or 0.0
                 return place
             remaining = deadline - self.clock.now()
             if remaining <= 0:
@@ -268,7 +276,7 @@
     def _limiter(self, target: Target) -> ConcurrencyLimiter:
         limiter = self.limiters.get(target.identity)
         if limiter is None:
-            limiter = ConcurrencyLimiter(LimiterSettings(), self.clock, target.slots)
+            limiter = self._new_limiter(target.slots)
             self.limiters[target.identity] = limiter
         elif limiter.slots != target.slots:
             # Places that are open hold this limiter, so it is changed and not replaced.
@@ -279,6 +287,16 @@
             limiter.limit = max(limiter.limit, limiter.floor)
         return limiter
 
+    def _new_limiter(self, slots: int) -> ConcurrencyLimiter:
+        # Without a number of entries, the server tells by its refusals how much each may send.
+        policy = SharedServerLimiter if self.entries else ConcurrencyLimiter
+        return policy(LimiterSettings(), self.clock, slots)
+
+    def is_queue_short(self, identity: str) -> bool:
+        """Return whether the latest answers of a server came without a long wait in its queue."""
+        limiter = self.limiters.get(identity)
+        return limiter is not None and limiter.is_quick
+
     def _look_again(self, targets: Sequence[Target]) -> float:
         """Return the seconds until a limiter that spaces its requests admits the next one."""
         delays = [self._limiter(target).ready_in() for target in targets]
--- a/packages/medlarpass/src/medlarpass/dispatch/__init__.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/__init__.py
@@ -48,6 +48,7 @@
 from medlarpass.dispatch.settings import RetryBudgetSettings
 from medlarpass.dispatch.settings import RetrySettings
 from medlarpass.dispatch.settings import SketchSettings
+from medlarpass.dispatch.shared_server_limiter import SharedServerLimiter
 from medlarpass.dispatch.slow_start import SlowStart
 from medlarpass.dispatch.suspicion_agreement import ObserverReport
 from medlarpass.dispatch.suspicion_agreement import SuspicionAgreement
@@ -99,6 +100,7 @@
     "ServerLoad",
     "ServerRecord",
     "SketchSettings",
+    "SharedServerLimiter",
     "SlowStart",
     "SuspicionAgreement",
     "TwoChoicesBalancer",
--- a/packages/medlarpass/src/medlarpass/dispatch/concurrency_limiter.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/concurrency_limiter.py
@@ -23,6 +23,7 @@
     """
 
     __slots__ = (
+        "aim",
         "clock",
         "floor",
         "in_flight",
@@ -42,12 +43,19 @@
         self.limit = float(slots)
         #: Lower bound of the limit; the entry's fair part of the server where it is known.
         self.floor = settings.least
+        #: Seconds within which an answer is worth most; 0 while unknown.
+        self.aim = 0.0
         self.in_flight = 0
         self.mean: float | None = None
         self.recent = 0.0
         self.reduced_at: float | None = None
         self.paced_until = 0.0
 
+    @property
+    def is_quick(self) -> bool:
+        """Whether answers show that the server's queue is short; this policy can't tell."""
+        return False
+
     def ready_in(self) -> float | None:
         """Return the seconds until a request may start, None if one has to end first."""
         if self.in_flight + 1 > max(self.limit, 1.0):
--- a/packages/medlarpass/src/medlarpass/tables/route.py
+++ b/packages/medlarpass/src/medlarpass/tables/route.py
@@ -41,6 +41,8 @@
     )
     #: Servers that one request may be sent to at most.
     attempts: int = DEFAULT_ATTEMPTS
+    #: Seconds within which an answer is worth most, where the route says so.
+    target: float | None = None
     #: Whether requests to pools without owned keys may lack the key.
     is_key_optional: ClassVar[bool] = False
 
