Count single keys, move hot neighbours in larger plans and side by side

Keys were counted by eights, so one hot key looked like eight warm ones, and its server got other keys as well; a server that could not shed ended the whole plan. A plan had at most 8 moves, the next one waited for all of them, and releases of one server waited for each other.

Change: loads are kept by key, with sums over sorted keys. A part ends before a key that is too much; a server that only has such a key is left out of the plan. A plan has up to a quarter as many moves as there are servers, and the next one builds on the moves in progress. Releases do not block each other. Cutting keys out of a range is one method of RangeAssignment now, it stood three times.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -69,7 +69,7 @@
         if not self.log.replica.is_leader:
             return fleet_pb2.EntryReportResponse(not_leader=self._not_leader())
         for load in request.loads:
-            self.fleet.loads_of(load.pool).add(load.buckets, load.requests)
+            self.fleet.loads_of(load.pool).add(load.keys, load.requests)
         for time in request.times:
             self.fleet.speeds.add(time.identity, time.answers, time.milliseconds / 1000)
         return fleet_pb2.EntryReportResponse()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -99,7 +99,7 @@
         """Return the parts of an assignment that are not on their way to another server."""
         parts = [assignment]
         for low, high in self.moving.get(assignment.pool, ()):
-            parts = [rest for part in parts for rest in _outside(part, low, high)]
+            parts = [rest for part in parts for rest in part.without(low, high)]
         return parts
 
     def ranges(self) -> fleet_pb2.RangeSet:
@@ -126,13 +126,3 @@
 ) -> Iterable[fleet_pb2.FleetRange]:
     for part in parts:
         yield fleet_pb2.FleetRange(assignment=part.to_proto(), phase=phase)
-
-
-def _outside(part: RangeAssignment, low: int, high: int) -> Iterable[RangeAssignment]:
-    if not part.overlaps(low, high):
-        yield part
-        return
-    if part.first < low:
-        yield part.with_bounds(part.first, low - 1)
-    if part.last > high:
-        yield part.with_bounds(high + 1, part.last)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -86,6 +86,7 @@
         "released",
         "renewed_at",
         "settings",
+        "targets",
         "tasks",
         "term",
     )
@@ -117,13 +118,16 @@
         self.pending: set[int] = set()
         #: Reading of the clock of the last grant, by fence and first key.
         self.renewed_at: dict[tuple[int, int], float] = {}
-        #: One call at a time goes to a server: a renewal must not overtake a release.
+        #: One grant at a time goes to a server, and none while a release begins: a renewal must not
+        #: overtake a release.
         self.locks: dict[str, asyncio.Lock] = {}
         #: Servers whose last grant failed.
         self.failing: set[str] = set()
         #: Keys that wait until the hold of a server that did not answer is over.
         self.released: dict[tuple[str, int, int], float] = {}
         self.moves: dict[tuple[str, int, int], asyncio.Task[None]] = {}
+        #: Where the keys of the moves are to go.
+        self.targets: dict[tuple[str, int, int], RangeAssignment] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -166,6 +170,7 @@
         self.renewed_at.clear()
         self.released.clear()
         self.moves.clear()
+        self.targets.clear()
         self.tasks.clear()
         self.locks.clear()
         self.failing.clear()
@@ -231,11 +236,18 @@
                 del self.released[key]
                 self._end_moving(*key)
             return
-        if self.is_balance_due and not self.moves and self._knows_loads():
+        if self.is_balance_due and self._knows_loads():
             planner = RangePlanner(pool, self.fleet.loads_of(pool))
-            for part in planner.balance(held, servers):
+            for part in planner.balance(self._planned(pool, held), servers):
                 self._begin_move(held, part)
 
+    def _planned(self, pool: str, held: list[RangeAssignment]) -> list[RangeAssignment]:
+        """Return the ranges as they will be when the moves in progress have ended."""
+        targets = [target for key, target in self.targets.items() if key[0] == pool]
+        for target in targets:
+            held = [rest for each in held for rest in each.without(target.first, target.last)]
+        return [*held, *targets]
+
     def _is_assembled(self) -> bool:
         wait = ASSEMBLE_PERIODS * self.settings.heartbeat
         return self.clock.now() - self.led_since >= wait
@@ -474,9 +486,8 @@
             events.RANGE_MOVING.log(
                 pool=each.pool, first=first, last=last, source=each.identity, target=target.identity
             )
-            task = asyncio.create_task(
-                self._move(each.with_bounds(first, last), target.with_bounds(first, last))
-            )
+            self.targets[key] = target.with_bounds(first, last)
+            task = asyncio.create_task(self._move(each.with_bounds(first, last), self.targets[key]))
             self.moves[key] = task
             task.add_done_callback(partial(self._move_ended, key))
         self.fleet.ranges_changed()
@@ -530,13 +541,17 @@
         if member is None or member.notice.life != part.life:
             raise ServerNotReachedError(f"{part.identity} is not known any more")
         async with self.locks.setdefault(part.identity, asyncio.Lock()):
-            return await self.calls.release(member.notice, part, RELEASE_TIMEOUT)
+            # A renewal that was sent before must not arrive after the release; those that follow
+            # leave out keys that move. The release itself waits for work and blocks no other call.
+            pass
+        return await self.calls.release(member.notice, part, RELEASE_TIMEOUT)
 
     def _move_ended(self, key: tuple[str, int, int], _: asyncio.Task[None]) -> None:
         self.moves.pop(key, None)
 
     def _end_moving(self, pool: str, first: int, last: int) -> None:
         self.fleet.moving.get(pool, set()).discard((first, last))
+        self.targets.pop((pool, first, last), None)
 
 
 def _covers(free: list[tuple[int, int]], assignment: RangeAssignment) -> bool:
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -105,9 +105,9 @@
 async def _spread_keys_of(world: Any, identity: str) -> Any:
     """Load the keys of a server for 3 s and return the range that it held before."""
     hot = next(each for each in world.state.ranges.all() if each.identity == identity)
-    buckets = range(hot.first // 8 + 1, hot.last // 8, 8)
+    keys = range(hot.first, hot.last, 64)
     for _ in range(30):
-        world.fleet.loads_of("stock").add(buckets, [5] * len(buckets))
+        world.fleet.loads_of("stock").add(keys, [5] * len(keys))
         await world.run(0.1)
         assert world.unheld() == 0
     return hot
--- a/packages/medlarpass/src/medlarpass/ranges/range_assignment.py
+++ b/packages/medlarpass/src/medlarpass/ranges/range_assignment.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from medlarpass.base import Value
 from medlarpass.rpc import control_pb2
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 #: Keys are integers from 0 to ``KEY_COUNT - 1``.
 KEY_COUNT = 65_536
 
@@ -49,6 +54,16 @@
         """Return whether the range has keys from ``first`` to ``last``."""
         return self.first <= last and first <= self.last
 
+    def without(self, first: int, last: int) -> Iterator[RangeAssignment]:
+        """Yield the parts of the range that remain when keys are taken out."""
+        if not self.overlaps(first, last):
+            yield self
+            return
+        if self.first < first:
+            yield self.with_bounds(self.first, first - 1)
+        if self.last > last:
+            yield self.with_bounds(last + 1, self.last)
+
     def to_proto(self) -> control_pb2.RangeAssignment:
         """Return the protobuf form."""
         return control_pb2.RangeAssignment(
--- a/packages/medlarpass/src/medlarpass/ranges/range_planner.py
+++ b/packages/medlarpass/src/medlarpass/ranges/range_planner.py
@@ -20,8 +20,10 @@
 UNEQUAL = 1.25
 #: Standard deviations of a count by which it has to exceed the fair load.
 CHANCE = 2.0
-#: Most moves between servers in one plan.
-MOST_MOVES = 8
+#: Most moves of one plan, by servers; each move costs a release and two rounds to the log.
+MOVES_PER_SERVER = 0.25
+#: Moves that are allowed however few servers there are.
+LEAST_MOVES = 8
 #: Share of its fair load below which a server gets keys although no other one is overloaded.
 SCARCE = 0.3
 #: Least share of the mean load that is worth a move.
@@ -85,37 +87,54 @@
         self, held: Sequence[RangeAssignment], servers: Sequence[PlannerServer]
     ) -> list[RangeAssignment]:
         """Return moves from the busiest to the least busy servers."""
-        by_identity = {server.identity: server for server in servers}
-        ranges = [each for each in held if each.identity in by_identity]
+        active = list(servers)
+        known = {server.identity for server in servers}
+        ranges = [each for each in held if each.identity in known]
         loads = self._server_loads(ranges, servers)
         moves: list[RangeAssignment] = []
-        if len(servers) < 2:
-            return moves
-        level = sum(loads.values()) / sum(server.weight for server in servers)
-        for _ in range(MOST_MOVES):
-            busiest = max(servers, key=lambda each: loads[each.identity] / each.weight)
-            calmest = min(servers, key=lambda each: loads[each.identity] / each.weight)
-            excess = loads[busiest.identity] - level * busiest.weight
-            room = level * calmest.weight - loads[calmest.identity]
+        most = max(LEAST_MOVES, int(len(servers) * MOVES_PER_SERVER))
+        while len(active) > 1 and len(moves) < most:
+            level = sum(loads[each.identity] for each in active)
+            level /= sum(each.weight for each in active)
+            busiest = max(active, key=lambda each: loads[each.identity] / each.weight)
+            calmest = min(active, key=lambda each: loads[each.identity] / each.weight)
             if not self._is_unequal(loads, busiest, calmest, level):
                 break
-            wanted = min(excess, room)
-            if loads[calmest.identity] < SCARCE * level * calmest.weight:
-                # The excess of each of many servers is small; a new server needs a share of some.
-                wanted = max(wanted, room / MOST_MOVES)
+            wanted = self._wanted(loads, busiest, calmest, level, most)
             if wanted < LEAST_MOVE * level * calmest.weight:
                 break
             part = self._part(busiest, ranges, wanted)
             if part is None:
-                break
+                # One key is more than this server's share, and nothing else is left to move.
+                active.remove(busiest)
+                continue
             move = RangeAssignment(self.pool, part.first, part.last, calmest.identity, calmest.life)
             moved = self.loads.of(part.first, part.last)
             loads[busiest.identity] -= moved
             loads[calmest.identity] += moved
-            ranges = _without(ranges, part)
+            ranges = [rest for each in ranges for rest in each.without(part.first, part.last)]
             moves.append(move)
         return moves
 
+    def _wanted(
+        self,
+        loads: dict[str, float],
+        busiest: PlannerServer,
+        calmest: PlannerServer,
+        level: float,
+        most: int,
+    ) -> float:
+        """Return the load that should move."""
+        excess = loads[busiest.identity] - level * busiest.weight
+        room = level * calmest.weight - loads[calmest.identity]
+        if excess > level * busiest.weight:
+            # Far more than its share: few large moves relieve it sooner than many exact ones.
+            room += (UNEQUAL - 1) * level * calmest.weight
+        if loads[calmest.identity] < SCARCE * level * calmest.weight:
+            # The excess of each of many servers is small; a new server needs a share of some.
+            return max(min(excess, room), room / most)
+        return min(excess, room)
+
     def _is_unequal(
         self,
         loads: dict[str, float],
@@ -143,16 +162,23 @@
     ) -> RangeAssignment | None:
         """Return the keys of a server whose load is nearest below or at ``wanted``."""
         own = [each for each in ranges if each.identity == server.identity]
-        whole = [each for each in own if self.loads.of(each.first, each.last) <= wanted]
+        whole = [each for each in own if self._load(each) <= wanted]
         if whole:
-            return max(whole, key=lambda each: self.loads.of(each.first, each.last))
-        if not own:
-            return None
-        widest = max(own, key=lambda each: self.loads.of(each.first, each.last))
-        if widest.size < 2:
-            return None
-        end = min(self.loads.cut(widest.first, widest.last, wanted), widest.last - 1)
-        return widest.with_bounds(widest.first, end)
+            return max(whole, key=self._load)
+        parts = [part for each in own for part in self._parts(each, wanted)]
+        return max(parts, key=self._load, default=None)
+
+    def _parts(self, own: RangeAssignment, wanted: float) -> Iterable[RangeAssignment]:
+        """Yield the longest parts at both ends of a range that are not more than ``wanted``."""
+        end = self.loads.first_part(own.first, own.last, wanted)
+        if end >= own.first:
+            yield own.with_bounds(own.first, end)
+        begin = self.loads.last_part(own.first, own.last, wanted)
+        if begin <= own.last:
+            yield own.with_bounds(begin, own.last)
+
+    def _load(self, assignment: RangeAssignment) -> float:
+        return self.loads.of(assignment.first, assignment.last)
 
     def _spread(self, first: int, last: int, wants: list[list[object]]) -> list[RangeAssignment]:
         parts: list[RangeAssignment] = []
@@ -163,7 +189,9 @@
                 break
             if load <= 0 and want is not wants[-1]:
                 continue
-            end = last if want is wants[-1] else self.loads.cut(first, last, load)
+            end = last
+            if want is not wants[-1]:
+                end = max(self.loads.first_part(first, last, load), first)
             want[1] = max(load - self.loads.of(first, end), 0.0)
             parts.append(RangeAssignment(self.pool, first, end, server.identity, server.life))
             first = end + 1
@@ -184,16 +212,3 @@
     if key < KEY_COUNT:
         gaps.append((key, KEY_COUNT - 1))
     return gaps
-
-
-def _without(ranges: Sequence[RangeAssignment], part: RangeAssignment) -> list[RangeAssignment]:
-    rest: list[RangeAssignment] = []
-    for each in ranges:
-        if not each.overlaps(part.first, part.last):
-            rest.append(each)
-            continue
-        if each.first < part.first:
-            rest.append(each.with_bounds(each.first, part.first - 1))
-        if each.last > part.last:
-            rest.append(each.with_bounds(part.last + 1, each.last))
-    return rest
--- a/packages/medlarpass/src/medlarpass/ranges/range_table.py
+++ b/packages/medlarpass/src/medlarpass/ranges/range_table.py
@@ -77,13 +77,9 @@
         return table
 
     def _insert(self, new: RangeAssignment) -> None:
-        kept: list[RangeAssignment] = [new]
-        for old in self.pools.get(new.pool, ()):
-            if not old.overlaps(new.first, new.last):
-                kept.append(old)
-                continue
-            if old.first < new.first:
-                kept.append(old.with_bounds(old.first, new.first - 1))
-            if old.last > new.last:
-                kept.append(old.with_bounds(new.last + 1, old.last))
-        self.pools[new.pool] = sorted(kept, key=lambda each: each.first)
+        kept = [
+            part
+            for old in self.pools.get(new.pool, ())
+            for part in old.without(new.first, new.last)
+        ]
+        self.pools[new.pool] = sorted([*kept, new], key=lambda each: each.first)
--- a/packages/medlarpass/tests/ranges/test_range_planner.py
+++ b/packages/medlarpass/tests/ranges/test_range_planner.py
@@ -9,7 +9,6 @@
 from medlarpass.ranges import RangeAssignment
 from medlarpass.ranges import RangeLoads
 from medlarpass.ranges import RangePlanner
-from medlarpass.ranges.range_loads import BUCKET_KEYS
 from medlarpass.ranges.range_planner import uncovered
 
 EVERYTHING = [(0, KEY_COUNT - 1)]
@@ -27,7 +26,7 @@
     hot = rng.randrange(0, KEY_COUNT - 200)
     keys = [rng.randrange(KEY_COUNT) for _ in range(2000)]
     keys += [hot + rng.randrange(200) for _ in range(1000)]
-    loads.add([key // BUCKET_KEYS for key in keys], [1] * len(keys))
+    loads.add(keys, [1] * len(keys))
     return loads
 
 
@@ -39,15 +38,7 @@
 def apply(held: list[RangeAssignment], moves: list[RangeAssignment]) -> list[RangeAssignment]:
     """Return the ranges after moves."""
     for move in moves:
-        rest: list[RangeAssignment] = []
-        for each in held:
-            if not each.overlaps(move.first, move.last):
-                rest.append(each)
-                continue
-            if each.first < move.first:
-                rest.append(each.with_bounds(each.first, move.first - 1))
-            if each.last > move.last:
-                rest.append(each.with_bounds(move.last + 1, each.last))
+        rest = [part for each in held for part in each.without(move.first, move.last)]
         held = sorted([*rest, move], key=lambda each: each.first)
     return held
 
@@ -100,3 +91,57 @@
     plan = planner.fill(lost, rest, group)
     assert sum(each.size for each in plan) == sum(last - first + 1 for first, last in lost)
     assert len({each.identity for each in plan}) > 8
+
+
+@pytest.mark.parametrize("place", [0, 1500, 3640])
+def test_a_hot_key_gets_a_server_of_its_own(place: int) -> None:
+    """Hot key: guards against neighbours that are refused where one key fills the server."""
+    loads = RangeLoads(0.5)
+    rng = random.Random(3)
+    hot = 5 * 3641 + place
+    keys = [rng.randrange(KEY_COUNT) for _ in range(2000)]
+    loads.add([*keys, hot], [*[1] * len(keys), 500])
+    planner = RangePlanner("p", loads)
+    group = servers(18)
+    uniform = RangePlanner("p", RangeLoads(0.5))
+    held = uniform.fill(EVERYTHING, [], group)
+    owner = next(each.identity for each in held if each.overlaps(hot, hot))
+    for _ in range(10):
+        held = apply(held, planner.balance(held, group))
+    assert next(each.identity for each in held if each.overlaps(hot, hot)) == owner
+    others = sum(loads.of(each.first, each.last) for each in held if each.identity == owner) - 500
+    assert others <= 0.1 * 2000 / 18
+    used = [load_of(loads, held, each.identity) for each in group if each.identity != owner]
+    assert max(used) <= 1.5 * sum(used) / len(used)
+
+
+def test_hot_neighbours_are_spread_over_many_servers_at_once() -> None:
+    """Hot range of a large pool: guards against seconds of refusals between small plans."""
+    loads = busy_neighbours(1)
+    planner = RangePlanner("p", loads)
+    group = servers(124)
+    held = RangePlanner("p", RangeLoads(0.5)).fill(EVERYTHING, [], group)
+    for _ in range(4):
+        held = apply(held, planner.balance(held, group))
+    used = [load_of(loads, held, server.identity) for server in group]
+    assert max(used) <= 2.5 * sum(used) / len(used)
+
+
+def test_parts_of_a_range_end_before_a_key_that_is_too_much() -> None:
+    """Guards against a hot key that is moved along with the neighbours that should leave it."""
+    loads = RangeLoads(0.5)
+    loads.add([10], [100])
+    assert loads.first_part(0, 20, 50.0) == 9
+    assert loads.last_part(0, 20, 50.0) == 11
+    assert loads.first_part(10, 20, 50.0) == 9
+    assert loads.last_part(0, 10, 50.0) == 11
+    assert loads.first_part(0, 20, 150.0) == 20
+
+
+def test_old_counts_are_forgotten() -> None:
+    """Guards against memory that grows with each key that was ever asked for."""
+    loads = RangeLoads(0.5)
+    loads.add(range(100), [1] * 100)
+    for _ in range(10):
+        loads.age()
+    assert not loads.counts
