Add a fault soak of the whole path on the users' machines

Change: tools.soak runs three control replicas and three entries with stand-in servers, behind relays that cut, cut one way, delay and reset. It checks holders of keys, runs and refusals of orders, whose answer a caller gets, what operators read, planned stops, and recovery. The system of the adapter's tests moved there; its stand-in servers check fences now.

--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -60,7 +60,7 @@
     process.send_signal(signal.SIGKILL)
     await process.wait()
     (system.folder / name).rename(system.folder / f"{name}-lost")
-    await system.start_process(name, f"127.0.0.1{int(name[-1]) + 1}")
+    await system.start_process(name)
     await system.until_true(
         lambda: asyncio.sleep(0, events(system, name)), lambda got: "replica_joined" in got
     )
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults against real processes that run with the users' adapter."""
--- /dev/null
+++ b/tools/soak/fleet_system.py
@@ -0,0 +1,297 @@
+"""Control replicas and entries as processes of their own, with stand-in servers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+
+from collections import Counter
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+import yaml
+
+from tools.bench.ports import LOOPBACK
+from tools.soak.stand_in_server import SERVERS_IP
+from tools.soak.stand_in_server import StandInServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from tools.bench.relay import RelayNetwork
+
+ROOT = Path(__file__).resolve().parents[2]
+SOURCES = [
+    ROOT / "packages/medlarpass/src",
+    ROOT / "packages/medlarpass-daemon/src",
+    ROOT / "platform",
+]
+#: Addresses of the control replicas; the port between processes is the same on all of them.
+CONTROLS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+ENTRIES = ("127.0.0.21", "127.0.0.22", "127.0.0.23")
+#: Seconds that a condition may take at most; far above what it takes.
+PATIENCE = 60.0
+#: Seconds for which two servers may hold the same keys while a call is on its way.
+OVERLAP = 0.5
+
+
+def free_port(addresses: Sequence[str]) -> int:
+    """Return a port that is free on all addresses."""
+    while True:
+        with socket.socket() as first:
+            first.bind((addresses[0], 0))
+            port: int = first.getsockname()[1]
+        try:
+            for address in addresses:
+                with socket.socket() as probe:
+                    probe.bind((address, port))
+        except OSError:
+            continue
+        return port
+
+
+class FleetSystem:
+    """Three control replicas and some entries.
+
+    :param folder: empty folder
+    :param entries: number of entries
+    :param relays: relays between the processes and to the servers, if faults are injected there
+    """
+
+    def __init__(self, folder: Path, entries: int = 1, relays: RelayNetwork | None = None) -> None:
+        self.folder = folder
+        self.relays = relays
+        self.addresses = {f"control-{number}": ip for number, ip in enumerate(CONTROLS)}
+        names = ["entry"] if entries == 1 else [f"entry-{number}" for number in range(entries)]
+        self.addresses |= dict(zip(names, ENTRIES, strict=False))
+        all_ips = list(self.addresses.values())
+        ports = ("rpc", "control", "platform", "operators", "front")
+        self.ports = {name: free_port(all_ips) for name in ports}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.servers: list[StandInServer] = []
+        self.session: aiohttp.ClientSession | None = None
+        self.requests = 0
+        #: How often each request ran.
+        self.runs: Counter[str] = Counter()
+        #: What contradicts a promise.
+        self.violations: list[str] = []
+
+    @property
+    def entries(self) -> list[str]:
+        """Names of the entries."""
+        return [name for name in self.addresses if name.startswith("entry")]
+
+    @property
+    def controls(self) -> list[str]:
+        """Names of the control replicas."""
+        return [name for name in self.addresses if name.startswith("control")]
+
+    def settings_of(self, name: str, first_start: bool) -> dict[str, Any]:
+        """Return the settings of a process."""
+        ip = self.addresses[name]
+        settings: dict[str, Any] = {
+            "name": name,
+            "domain": "north",
+            "rpc": f"{ip}:{self.ports['rpc']}",
+            "platform": f"{ip}:{self.ports['platform']}",
+            "security": {"between_processes": {"mode": "unauthenticated"}},
+            "fleet": {
+                "adapter": "medlarpass_platform",
+                "seeds": [f"{each}:{self.ports['control']}" for each in CONTROLS],
+                "first_start": first_start,
+                "heartbeat": "300ms",
+                "hold": "3s",
+            },
+            "log": {"file": str(self.folder / f"{name}.log")},
+            "address_translation": self._translation(name),
+        }
+        if name in self.entries:
+            settings["roles"] = ["entry"]
+            settings["entry"] = {
+                "callers": f"{ip}:{self.ports['front']}",
+                "connect_timeout": "200ms",
+                "owner_wait": "300ms",
+                "place_wait": "50ms",
+            }
+            settings["stop"] = {"balancer_wait": "200ms", "finish_within": "10s"}
+            return settings
+        settings["roles"] = ["control"]
+        settings["security"]["operators"] = {"mode": "unauthenticated"}
+        settings["fleet"]["listener"] = f"{ip}:{self.ports['control']}"
+        settings["control"] = {
+            "operators": f"{ip}:{self.ports['operators']}",
+            "data_folder": str(self.folder / name),
+        }
+        return settings
+
+    def _translation(self, name: str) -> list[dict[str, str]]:
+        if self.relays is None:
+            return []
+        port = self.ports["rpc"]
+        return [
+            {
+                "address": f"{ip}:{port}",
+                "via": f"{LOOPBACK}:{self.relays.add(name, target, port, ip)}",
+            }
+            for target, ip in self.addresses.items()
+            if target in self.controls and target != name
+        ]
+
+    def told_address(self, server: StandInServer) -> str:
+        """Return the address under which a server announces itself."""
+        if self.relays is None:
+            return server.address
+        if server.told:
+            return server.told
+        port = int(server.address.rpartition(":")[2])
+        return f"{LOOPBACK}:{self.relays.add('all', server.identity, port, SERVERS_IP)}"
+
+    async def start(self) -> None:
+        """Start all processes for the first time."""
+        self.session = aiohttp.ClientSession()
+        for name in self.controls:
+            await self.start_process(name, first_start=True)
+        for name in self.entries:
+            await self.start_process(name)
+
+    async def start_process(self, name: str, first_start: bool = False) -> None:
+        """Start a process, or start it again."""
+        file = self.folder / f"{name}.yaml"
+        if not file.exists():
+            settings = self.settings_of(name, first_start)
+            file.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        elif not first_start:
+            settings = yaml.safe_load(file.read_text(encoding="utf-8"))
+            settings["fleet"]["first_start"] = False
+            file.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "medlarpass_daemon",
+            "--settings",
+            str(file),
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(map(str, SOURCES))},
+        )
+
+    async def stop(self) -> None:
+        """End all processes and servers."""
+        for server in self.servers:
+            await server.stop()
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGKILL)
+                await process.wait()
+        if self.session is not None:
+            await self.session.close()
+
+    async def add_server(self, pool: str, identity: str, owned: bool = False) -> StandInServer:
+        """Start a stand-in server."""
+        server = StandInServer(self, pool, identity, owned)
+        self.servers.append(server)
+        await server.start()
+        return server
+
+    def note_run(self, request_id: str) -> None:
+        """Count a run of a request."""
+        self.runs[request_id] += 1
+
+    def check_holders(self, taker: StandInServer, first: int, last: int) -> None:
+        """Note that a server gets keys which another one still holds."""
+        latest = time.monotonic() + OVERLAP
+        for other in self.servers:
+            if other is not taker and other.is_up and other.held_until(first, last) > latest:
+                self.violations.append(
+                    f"{taker.identity} gets keys {first} to {last} of {other.identity}"
+                )
+
+    async def control(self, call: str, body: Any) -> tuple[int, str]:
+        """Call control, trying its replicas in turn; the status is 0 when none answers."""
+        assert self.session is not None
+        data = json.dumps(body).encode()
+        for ip in CONTROLS:
+            url = f"http://{ip}:{self.ports['control']}/api/rpc?call={call}"
+            timeout = aiohttp.ClientTimeout(total=2)
+            try:
+                async with self.session.post(url, data=data, timeout=timeout) as response:
+                    text = await response.text()
+                    if response.status < 500:
+                        return response.status, text
+            except (aiohttp.ClientError, TimeoutError):
+                continue
+        return 0, ""
+
+    async def publish(self, version: int, **timeouts: float) -> None:
+        """Publish a route for each kind of request, trying until it is confirmed."""
+        await self.until_true(
+            lambda: self.publish_once(version, **timeouts), lambda got: got[0] == 200
+        )
+
+    async def publish_once(self, version: int, **timeouts: float) -> tuple[int, str]:
+        """Send a publication once."""
+        kinds = {"stock": "safe", "orders": "unsafe", "art": "download"}
+        routes = [
+            {
+                "name": name,
+                "host": "rolls.example",
+                "path_prefix": f"/{name}/",
+                "type": kind,
+                "timeout_s": timeouts.get(name, 5),
+                "target_latency_s": 1,
+                "priority": 1,
+                "upstream": name,
+                "max_attempts": 2,
+            }
+            for name, kind in kinds.items()
+        ]
+        pools = [{"name": n, "max_connections": 100, "sharded": n == "stock"} for n in kinds]
+        body = {"version": f"r{version}", "routes": routes, "upstreams": pools, "limits": {}}
+        return await self.control("config.put", body)
+
+    async def ask(self, path: str, method: str = "GET", key: int = 0, **more: Any) -> Any:
+        """Send a request of a caller; the status is 0 when there is no answer.
+
+        :param more: ``entry``, ``request_id``, ``session``, or options of the HTTP client
+        """
+        self.requests += 1
+        session = more.pop("session", self.session)
+        assert session is not None
+        entry = more.pop("entry", self.entries[0])
+        headers = {
+            "Host": "rolls.example",
+            "Medlarpass-Attempt-Id": more.pop("request_id", f"a{self.requests}"),
+            "Medlarpass-Deadline-Ms": "5000",
+            "Medlarpass-Shard-Key": str(key),
+        }
+        url = f"http://{self.addresses[entry]}:{self.ports['front']}{path}"
+        try:
+            async with session.request(method, url, headers=headers, **more) as response:
+                return response.status, await response.text(), response.headers
+        except (aiohttp.ClientError, TimeoutError):
+            return 0, "", {}
+
+    async def until_served(self, path: str, **more: Any) -> Any:
+        """Ask until a request is served and return the answer."""
+        return await self.until_true(lambda: self.ask(path, **more), lambda got: got[0] == 200)
+
+    async def until_true(self, act: Callable[[], Any], accept: Callable[[Any], bool]) -> Any:
+        """Repeat an action until its result is accepted."""
+        limit = time.monotonic() + PATIENCE
+        while True:
+            result = await act()
+            if accept(result):
+                return result
+            assert time.monotonic() < limit, f"waited in vain; last result: {result}"
+            await asyncio.sleep(0.1)
+
+    def log_of(self, name: str) -> list[dict[str, Any]]:
+        """Return the log of a process."""
+        text = (self.folder / f"{name}.log").read_text(encoding="utf-8")
+        return [json.loads(line) for line in text.splitlines()]
