Divide the range keeper into lease, grants, moves and planning

Change: LeaderLease confirms the leadership, RangeGrants assigns, grants, renews and releases, RangeMoves moves keys, RangeKeeper decides what to do. A server that says that it is still slow after its start gets half of its share of the load; this field was read and never used. Dead code goes: FleetDirectory.is_present, route_of, FleetWatcher.heard_at and its clock, and a field of the stream.

--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
@@ -0,0 +1,291 @@
+"""Grants of ranges to servers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+from medlarpass import MedlarpassError
+from medlarpass.ranges import HoldBook
+from medlarpass.ranges import RangeAssignment
+from medlarpass.rpc import control_pb2
+from medlarpass_daemon.control.fleet import events
+from medlarpass_daemon.control.fleet.exceptions import HigherFenceError
+from medlarpass_daemon.control.fleet.exceptions import ServerCallError
+from medlarpass_daemon.control.fleet.exceptions import ServerNotReachedError
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from medlarpass import Clock
+    from medlarpass_daemon.control.fleet.fleet_state import FleetState
+    from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
+    from medlarpass_daemon.control.fleet.server_calls import ServerCalls
+    from medlarpass_daemon.control.replica_log import ReplicaLog
+    from medlarpass_daemon.settings import FleetSettings
+
+#: Seconds after which a grant without an answer is given up.
+GRANT_TIMEOUT = 1.0
+#: Seconds that a release may take; it waits for the work in progress.
+RELEASE_TIMEOUT = 3.0
+#: Renewals within one hold; several may be lost before the keys are.
+RENEWALS = 4
+#: Seconds after a failed renewal until the next one.
+RENEW_AGAIN = 0.4
+
+
+class RangeGrants:
+    """Writes assignments to the log, and grants, renews and releases them.
+
+    An assignment is written to the log before its grant is sent, so that every later leader knows
+    who may hold which keys under which fence.
+
+    :param log: replicated log
+    :param fleet: servers and ranges
+    :param calls: calls to servers
+    :param settings: settings of the fleet
+    :param lease: nothing is sent without it
+    :param clock: source of time; counts suspended time
+    """
+
+    __slots__ = (
+        "book",
+        "calls",
+        "clock",
+        "ended",
+        "failing",
+        "fleet",
+        "lease",
+        "locks",
+        "log",
+        "pending",
+        "renewed_at",
+        "settings",
+        "tasks",
+    )
+
+    def __init__(
+        self,
+        log: ReplicaLog,
+        fleet: FleetState,
+        calls: ServerCalls,
+        settings: FleetSettings,
+        lease: LeaderLease,
+        clock: Clock,
+    ) -> None:
+        self.log = log
+        self.fleet = fleet
+        self.calls = calls
+        self.settings = settings
+        self.lease = lease
+        self.clock = clock
+        self.book = HoldBook(clock, settings.hold)
+        #: Fences of assignments whose holds are over; they must not be renewed again.
+        self.ended: set[int] = set()
+        #: Fences whose first grant has not ended.
+        self.pending: set[int] = set()
+        #: Reading of the clock of the last grant, by fence and first key.
+        self.renewed_at: dict[tuple[int, int], float] = {}
+        #: One grant at a time goes to a server, and none while a release begins: a renewal must not
+        #: overtake a release.
+        self.locks: dict[str, asyncio.Lock] = {}
+        #: Servers whose last grant failed.
+        self.failing: set[str] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def begin(self) -> None:
+        """Begin as a new leader, which presumes that everything was renewed until now."""
+        ranges = list(self.fleet.state.ranges.all())
+        self.book.presume(ranges)
+        self.fleet.confirmed = {each.fence for each in ranges}
+        self.fleet.ranges_changed()
+
+    def end(self) -> None:
+        """Stop all calls and forget what only a leader knows."""
+        for task in self.tasks:
+            task.cancel()
+        self.tasks.clear()
+        self.renewed_at.clear()
+        self.locks.clear()
+        self.failing.clear()
+        self.ended.clear()
+        self.pending.clear()
+
+    def retain(self, fences: set[int]) -> None:
+        """Forget the assignments that are no longer in the table."""
+        self.book.retain(fences)
+        self.ended &= fences
+
+    def lost(self, assignment: RangeAssignment, reason: str) -> None:
+        """Note that a server certainly no longer holds its keys."""
+        if assignment.fence in self.ended:
+            return
+        self.book.end(assignment.fence)
+        self.ended.add(assignment.fence)
+        self.fleet.confirmed.discard(assignment.fence)
+        events.RANGE_LOST.log(
+            pool=assignment.pool,
+            first=assignment.first,
+            last=assignment.last,
+            server=assignment.identity,
+            fence=assignment.fence,
+            reason=reason,
+        )
+
+    async def assign(
+        self, assignments: list[RangeAssignment], handover: str = "", stays: bool = False
+    ) -> None:
+        """Write assignments to the log and grant them.
+
+        :param handover: what the last holder returned; empty when unknown
+        :param stays: whether the keys stay at their holders and only the fence changes
+        """
+        if not assignments:
+            return
+        command = control_pb2.Command(
+            assign_ranges=control_pb2.AssignRanges(
+                assignments=[each.to_proto() for each in assignments]
+            )
+        )
+        result = await self.log.propose(command)
+        if not self.lease.is_held:
+            return
+        granted = [RangeAssignment.from_proto(each) for each in result.ranges.assignments]
+        events.RANGES_ASSIGNED.log(
+            term=self.lease.term,
+            ranges=[[each.first, each.last, each.identity, each.fence] for each in granted],
+        )
+        if stays:
+            for old, new in zip(assignments, granted, strict=True):
+                self.book.carry(old.fence, new.fence)
+                self.fleet.confirmed.add(new.fence)
+        self.fleet.ranges_changed()
+        for each in granted:
+            self.pending.add(each.fence)
+            self._spawn(self._grant_first(each, handover))
+
+    def refence(self, assignment: RangeAssignment) -> None:
+        """Grant keys under a higher fence to their holder, which ends the power of late grants."""
+        self.pending.add(assignment.fence)
+        self._spawn(self._refence(assignment, stays=True))
+
+    def renew(self) -> None:
+        """Renew all holds that are due."""
+        due = self.clock.now() - self.settings.hold / RENEWALS
+        for assignment in self.fleet.state.ranges.all():
+            member = self.fleet.directory.members.get(assignment.identity)
+            if member is None or member.notice.life != assignment.life:
+                continue
+            if assignment.fence in self.pending:
+                continue
+            for part in self.fleet.parts_at_rest(assignment):
+                if self.renewed_at.get((part.fence, part.first), 0.0) <= due:
+                    self._spawn(self._renew(part))
+
+    async def release(self, part: RangeAssignment) -> str:
+        """Take keys that are marked as moving from their server and return its handover.
+
+        :raises ServerCallError: the server may still run requests for the keys
+        """
+        member = self.fleet.directory.members.get(part.identity)
+        if member is None or member.notice.life != part.life:
+            raise ServerNotReachedError(f"{part.identity} is not known any more")
+        async with self.locks.setdefault(part.identity, asyncio.Lock()):
+            # A renewal that was sent before must not arrive after the release; those that follow
+            # leave out keys that move. The release itself waits for work and blocks no other call.
+            pass
+        return await self.calls.release(member.notice, part, RELEASE_TIMEOUT)
+
+    async def _grant_first(self, assignment: RangeAssignment, handover: str) -> None:
+        try:
+            if await self._grant(assignment, handover):
+                self.book.settle(assignment.fence)
+        finally:
+            self.pending.discard(assignment.fence)
+
+    async def _refence(self, assignment: RangeAssignment, stays: bool) -> None:
+        try:
+            await self.assign(self.fleet.parts_at_rest(assignment), stays=stays)
+        except MedlarpassError as error:
+            # The old fence stays in force; the next look at the ranges tries again.
+            events.REFENCE_FAILED.log(
+                server=assignment.identity, fence=assignment.fence, code=error.code
+            )
+        finally:
+            self.pending.discard(assignment.fence)
+
+    async def _renew(self, assignment: RangeAssignment) -> None:
+        await self._grant(assignment)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _grant(self, assignment: RangeAssignment, handover: str = "") -> bool:
+        """Send a grant and return whether the server took it."""
+        self.renewed_at[assignment.fence, assignment.first] = self.clock.now()
+        member = self.fleet.directory.members.get(assignment.identity)
+        if member is None or member.notice.life != assignment.life:
+            return False
+        async with self.locks.setdefault(assignment.identity, asyncio.Lock()):
+            if not self.lease.is_held or not self._is_in_force(assignment):
+                return False
+            before = self.book.held_until.get(assignment.fence, 0.0)
+            self.book.sending(assignment.fence, GRANT_TIMEOUT)
+            try:
+                await self.calls.grant(
+                    member.notice, assignment, self.settings.hold, handover, GRANT_TIMEOUT
+                )
+            except ServerNotReachedError as error:
+                self.book.held_until[assignment.fence] = before
+                self._failed(assignment, error)
+            except HigherFenceError as error:
+                self.book.answered(assignment.fence)
+                self._failed(assignment, error)
+                self._spawn(self._refence(assignment, stays=False))
+            except ServerCallError as error:
+                self.book.unanswered(assignment.fence)
+                self._failed(assignment, error)
+            else:
+                self.book.answered(assignment.fence)
+                self._succeeded(assignment)
+                return True
+        return False
+
+    def _is_in_force(self, assignment: RangeAssignment) -> bool:
+        """Return whether the log still has the whole assignment and none of it is moving."""
+        if assignment.fence in self.ended:
+            return False
+        if self.fleet.overlaps_moving(assignment.pool, assignment.first, assignment.last):
+            return False
+        return any(
+            each.fence == assignment.fence
+            and each.first <= assignment.first
+            and assignment.last <= each.last
+            for each in self.fleet.state.ranges.pools.get(assignment.pool, ())
+        )
+
+    def _succeeded(self, assignment: RangeAssignment) -> None:
+        if assignment.identity in self.failing:
+            self.failing.discard(assignment.identity)
+            events.GRANT_RESTORED.log(server=assignment.identity, fence=assignment.fence)
+        if assignment.fence not in self.fleet.confirmed:
+            self.fleet.confirmed.add(assignment.fence)
+            self.fleet.ranges_changed()
+
+    def _failed(self, assignment: RangeAssignment, error: ServerCallError) -> None:
+        again_at = self.clock.now() + RENEW_AGAIN
+        self.renewed_at[assignment.fence, assignment.first] = (
+            again_at - self.settings.hold / RENEWALS
+        )
+        if assignment.identity in self.failing:
+            return
+        self.failing.add(assignment.identity)
+        events.GRANT_FAILED.log(
+            server=assignment.identity,
+            fence=assignment.fence,
+            code=error.code,
+            held_for=self.book.held_until.get(assignment.fence, 0.0) - self.clock.now(),
+        )
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -93,7 +93,6 @@
             loads,
             self.callers.path.places.take_times,
             channels,
-            clock,
         )
         self.tasks: list[asyncio.Task[None]] = []
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
@@ -82,9 +82,3 @@
             else:
                 choices[route.name] = WeightedChoice(route, random.random())
         return choices
-
-
-def route_of(route: Route) -> PublishedRoute:
-    """Return a route of a publication as such."""
-    assert isinstance(route, PublishedRoute)
-    return route
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -16,7 +16,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from medlarpass import Clock
     from medlarpass_daemon.entry.fleet.key_loads import KeyLoads
     from medlarpass_daemon.rpc_channels import RpcChannels
     from medlarpass_daemon.seeds import Seeds
@@ -44,16 +43,13 @@
     :param loads: loads to report
     :param times: returns answers and their seconds by server since the last call
     :param channels: gRPC channels
-    :param clock: source of time
     """
 
     __slots__ = (
         "apply",
         "channels",
-        "clock",
         "controls",
         "entries",
-        "heard_at",
         "is_connected",
         "leader",
         "loads",
@@ -74,7 +70,6 @@
         loads: KeyLoads,
         times: Callable[[], dict[str, tuple[int, float]]],
         channels: RpcChannels,
-        clock: Clock,
     ) -> None:
         self.settings = settings
         self.seeds = seeds
@@ -83,7 +78,6 @@
         self.loads = loads
         self.times = times
         self.channels = channels
-        self.clock = clock
         #: Address of the leader that sends updates, empty while none does.
         self.leader = ""
         self.controls: list[str] = []
@@ -91,7 +85,6 @@
         self.term = 0
         #: Entries that follow the leader.
         self.entries = 1
-        self.heard_at = clock.now()
         self.is_connected = True
         self.tries = 0
 
@@ -165,7 +158,6 @@
     def _take(self, address: str, update: fleet_pb2.FleetUpdate) -> None:
         self.term = update.term
         self.leader = address
-        self.heard_at = self.clock.now()
         self.controls = list(update.controls)
         self.entries = max(update.entries, 1)
         if not self.is_connected or self.tries:
--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -55,6 +55,7 @@
         self.sequence = 0
         self.is_up = True
         self.is_cut = False
+        self.warming = 0.0
         self.grants: list[Grant] = []
         #: First key, last key and fence of all calls that this life has seen.
         self.seen: list[tuple[int, int, int]] = []
@@ -72,7 +73,7 @@
             "d",
             3,
             is_leaving,
-            0.0,
+            self.warming,
         )
 
     def arrive(self, assignment: RangeAssignment) -> None:
@@ -215,15 +216,12 @@
         settings: Any = SimpleNamespace(hold=HOLD, heartbeat=0.5, silent_after=3)
         log: Any = self.log
         self.keeper = RangeKeeper(log, self.fleet, Calls(self), settings, 0.6, self.clock)
-        self.keeper.term = self.log.replica.term
-        self.keeper.led_since = self.clock.now()
-        self.keeper.lease_until = float("inf")
-        self.keeper.book.presume(self.state.ranges.all())
-        self.fleet.confirmed = {each.fence for each in self.state.ranges.all()}
+        self.keeper.begin()
+        self.keeper.lease.until = float("inf")
 
     def change_leader(self) -> None:
         """Depose the leader and let another one begin."""
-        self.keeper.lease_until = 0.0
+        self.keeper.lease.until = 0.0
         self.log.replica.term += 1
         self.lead()
 
@@ -234,7 +232,7 @@
             server.tick()
             if heartbeats and server.is_up and not server.is_cut:
                 self.fleet.directory.observe(server.notice())
-        await self.keeper._step()
+        await self.keeper.step()
         for _ in range(20):
             await asyncio.sleep(0)
 
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -23,6 +23,15 @@
     assert len({each.identity for each in world.state.ranges.all()}) == 6
 
 
+async def test_a_server_that_is_slow_after_its_start_gets_fewer_keys(new_world: Any) -> None:
+    """Release of new servers: guards against answers that are late while a server warms up."""
+    world = new_world(4)
+    world.servers["s3"].warming = 3.0
+    await world.run(2)
+    sizes = {each.identity: each.size for each in world.state.ranges.all()}
+    assert sizes["s3"] < 0.6 * sizes["s0"]
+
+
 async def test_holds_are_renewed(new_world: Any) -> None:
     """Guards against keys that are lost although their server is well."""
     world = new_world(6)
@@ -82,7 +91,7 @@
 async def test_a_grant_that_waits_for_its_server_does_not_free_its_keys(new_world: Any) -> None:
     """Guards against keys that are assigned again and again while their grant is on its way."""
     world = new_world(3)
-    busy = world.keeper.locks.setdefault("s1", asyncio.Lock())
+    busy = world.keeper.grants.locks.setdefault("s1", asyncio.Lock())
     await busy.acquire()
     await world.run(2)
     assert world.state.ranges.last_fence == 3
@@ -152,7 +161,7 @@
     await world.log.propose(control_pb2.Command(retire_server=retire))
     world.fleet.directory.retire("s1", 1)
     await world.run(0.5)
-    assert world.keeper.released
+    assert world.keeper.moves.released
     world.servers["s1"].restart()
     world.servers["s1"].is_cut = False
     await world.run(0.5)
@@ -163,10 +172,10 @@
     """Guards against renewals by a leader whose keys another one has given away."""
     world = new_world(3)
     await world.run(2)
-    world.keeper.lease_until = 0.0
+    world.keeper.lease.until = 0.0
     until = [grant.until for server in world.servers.values() for grant in server.grants]
     world.clock.advance(HOLD)
-    world.keeper._renew()
+    world.keeper.grants.renew()
     for _ in range(20):
         await asyncio.sleep(0)
     assert until == [grant.until for server in world.servers.values() for grant in server.grants]
@@ -197,7 +206,7 @@
         await asyncio.sleep(0)
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
-    assert not world.keeper.book.is_over(world.state.ranges.last_fence)
+    assert not world.keeper.grants.book.is_over(world.state.ranges.last_fence)
 
 
 @pytest.mark.parametrize("seed", range(12))
--- a/packages/medlarpass/src/medlarpass/fleet/fleet_directory.py
+++ b/packages/medlarpass/src/medlarpass/fleet/fleet_directory.py
@@ -77,11 +77,6 @@
             if member.notice.pool == pool and not member.is_retired:
                 yield member
 
-    def is_present(self, identity: str, life: int) -> bool:
-        """Return whether this life of a server is the newest that is known and still there."""
-        member = self.members.get(identity)
-        return member is not None and member.notice.life == life and not self.is_replaced(member)
-
     def is_replaced(self, member: FleetMember) -> bool:
         """Return whether a later server has announced itself at the same address."""
         notice = member.notice
