Let the control log remember where servers are

Change: each new life of a server is written to the log once, and a new leader begins with these records. A leave removes them, and a record that a leave has overtaken is ignored.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/events.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/events.py
@@ -7,6 +7,7 @@
 SERVER_JOINED = Event(6100, "fleet_server_joined")
 SERVER_RETIRED = Event(6101, "fleet_server_retired")
 SERVER_FORGOTTEN = Event(6102, "fleet_server_forgotten")
+RECORD_FAILED = Event(6103, "fleet_server_not_recorded")
 PUBLICATION_ACCEPTED = Event(6110, "publication_accepted")
 PUBLICATION_UNCHANGED = Event(6111, "publication_unchanged")
 PUBLICATION_REFUSED = Event(6112, "publication_refused")
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from typing import TYPE_CHECKING
 
+from medlarpass import MedlarpassError
 from medlarpass.publication import Publication
 from medlarpass.publication import PublicationError
 from medlarpass.replication import NotLeaderError
@@ -28,11 +31,14 @@
     :param fleet: servers and ranges
     """
 
-    __slots__ = ("fleet", "log")
+    __slots__ = ("fleet", "log", "recording", "tasks")
 
     def __init__(self, log: ReplicaLog, fleet: FleetState) -> None:
         self.log = log
         self.fleet = fleet
+        #: Identities and lives that are on their way to the log.
+        self.recording: set[tuple[str, int]] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
 
     async def notice(self, notice: ServerNotice) -> None:
         """Take a heartbeat; a return confirms it.
@@ -49,6 +55,7 @@
             )
             self._mark_if_retired(notice.identity, notice.life)
             self.fleet.notify()
+        self._record(notice)
         if notice.is_leaving:
             await self.retire(notice.identity, notice.life)
 
@@ -124,6 +131,27 @@
         if not self.log.replica.is_leader:
             raise NotLeadingError(self.log.leader_address())
 
+    def _record(self, notice: ServerNotice) -> None:
+        """Let the log remember a server; its confirmation does not wait for that."""
+        known = (notice.identity, notice.life)
+        if known in self.recording or self.fleet.state.servers.has(*known):
+            return
+        if notice.is_leaving or self.fleet.state.ranges.is_retired(*known):
+            return
+        self.recording.add(known)
+        task = asyncio.create_task(self._write(notice))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _write(self, notice: ServerNotice) -> None:
+        try:
+            await self.log.propose(control_pb2.Command(record_server=notice.to_record()))
+        except MedlarpassError as error:
+            # The next heartbeat tries again.
+            events.RECORD_FAILED.log(server=notice.identity, life=notice.life, code=error.code)
+        finally:
+            self.recording.discard((notice.identity, notice.life))
+
     def _mark_if_retired(self, identity: str, life: int) -> None:
         if self.fleet.state.ranges.is_retired(identity, life):
             self.fleet.directory.retire(identity, life)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from medlarpass.fleet import FleetDirectory
+from medlarpass.fleet import ServerNotice
 from medlarpass.publication import Publication
 from medlarpass.ranges import RangeLoads
 from medlarpass.ranges import ServerSpeeds
@@ -60,6 +61,12 @@
         self.changed = asyncio.Event()
         state.observers.append(self.notify)
 
+    def presume_servers(self) -> None:
+        """Begin as a new leader: the servers of the log are there until they stay silent."""
+        for record in self.state.servers.all():
+            self.directory.observe(ServerNotice.from_record(record))
+        self.notify()
+
     def notify(self) -> None:
         """Wake everybody who waits for a change."""
         self.changed.set()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -103,6 +103,7 @@
         """Begin a term as the leader."""
         self.led_since = self.clock.now()
         self.lease.begin()
+        self.fleet.presume_servers()
         self.grants.begin()
 
     async def step(self) -> None:
--- a/packages/medlarpass/src/medlarpass/control/control_state.py
+++ b/packages/medlarpass/src/medlarpass/control/control_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from medlarpass.control.exceptions import CommandRejectedError
+from medlarpass.fleet import ServerRecords
 from medlarpass.ledger import OrderLedger
 from medlarpass.ownership import DelegationTable
 from medlarpass.ranges import RangeTable
@@ -28,6 +29,7 @@
         "observers",
         "publication",
         "ranges",
+        "servers",
         "tables",
     )
 
@@ -38,6 +40,7 @@
         #: Routes and pools that were put in force as a whole; version 0 before the first.
         self.publication = control_pb2.Publish()
         self.ranges = RangeTable()
+        self.servers = ServerRecords()
         self.applied_index = 0
         #: Called after each change of the state.
         self.observers: list[Callable[[], None]] = []
@@ -67,6 +70,7 @@
             delegations=self.delegations.to_bytes(),
             publication=self.publication,
             ranges=self.ranges.snapshot(),
+            servers=self.servers.all(),
         )
         return snapshot.SerializeToString()
 
@@ -78,6 +82,7 @@
         self.delegations = DelegationTable.from_bytes(snapshot.delegations)
         self.publication = snapshot.publication
         self.ranges = RangeTable.restored(snapshot.ranges)
+        self.servers = ServerRecords.restored(snapshot.servers)
         self._notify()
 
     def _notify(self) -> None:
@@ -190,4 +195,15 @@
     body: control_pb2.RetireServer, state: ControlState, time_ms: int
 ) -> control_pb2.CommandResult:
     state.ranges.retire(body)
+    state.servers.remove(body.identity, body.life)
+    return control_pb2.CommandResult(ranges=control_pb2.RangesResult())
+
+
+@apply_body.register
+def _record_server(
+    body: control_pb2.RecordServer, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    # A leave that was written first may have overtaken the record.
+    if not state.ranges.is_retired(body.identity, body.life):
+        state.servers.record(body)
     return control_pb2.CommandResult(ranges=control_pb2.RangesResult())
--- a/packages/medlarpass/src/medlarpass/fleet/server_notice.py
+++ b/packages/medlarpass/src/medlarpass/fleet/server_notice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from medlarpass.base import Value
+from medlarpass.rpc import control_pb2
 
 
 class ServerNotice(Value):
@@ -61,3 +62,31 @@
     def address(self) -> tuple[str, int]:
         """IP number and port for requests."""
         return self.ip, self.port
+
+    def to_record(self) -> control_pb2.RecordServer:
+        """Return what the control log remembers."""
+        return control_pb2.RecordServer(
+            identity=self.identity,
+            life=self.life,
+            pool=self.pool,
+            ip=self.ip,
+            port=self.port,
+            domain=self.domain,
+            slots=self.slots,
+        )
+
+    @classmethod
+    def from_record(cls, record: control_pb2.RecordServer) -> ServerNotice:
+        """Return the notice of a record; each heartbeat of the same life is newer."""
+        return cls(
+            record.identity,
+            record.life,
+            -1,
+            record.pool,
+            record.ip,
+            record.port,
+            record.domain,
+            record.slots,
+            False,
+            0.0,
+        )
--- a/tools/soak/fleet_system.py
+++ b/tools/soak/fleet_system.py
@@ -79,6 +79,8 @@
         self.servers: list[StandInServer] = []
         self.session: aiohttp.ClientSession | None = None
         self.requests = 0
+        #: How often each process was started.
+        self.lives: Counter[str] = Counter()
         #: How often each request ran.
         self.runs: Counter[str] = Counter()
         #: What contradicts a promise.
@@ -172,6 +174,7 @@
             settings = yaml.safe_load(file.read_text(encoding="utf-8"))
             settings["fleet"]["first_start"] = False
             file.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        self.lives[name] += 1
         self.processes[name] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -43,6 +43,8 @@
 CALM = 3.0
 #: Seconds within which everything is served after the last fault, from the users' bound.
 RECOVERY = 15.0
+#: Event of a process that begins to listen.
+LISTENING = "medlarpass:platform_started"
 POOLS = {"stock": 4, "orders": 2, "art": 2}
 
 
@@ -173,13 +175,19 @@
             self.down.add(name)
             planned = fault.kind is FaultKind.STOP
             process.send_signal(signal.SIGTERM if planned else signal.SIGKILL)
+            has_listened = self._lives(name) == self.system.lives[name]
             status = await process.wait()
-            if planned and status:
+            # A process that does not listen yet has no handler for the signal and no request.
+            if planned and status and has_listened:
                 self.system.violations.append(f"{name} ended with status {status} after SIGTERM")
             await asyncio.sleep(length)
             await self.system.start_process(name)
             self.down.discard(name)
 
+    def _lives(self, name: str) -> int:
+        """Return how many lives of a process have begun to listen."""
+        return sum(line["message_type"] == LISTENING for line in self.system.log_of(name))
+
     async def _keep_running(self) -> None:
         """Start processes again that have ended by themselves, as the machines do."""
         while True:
