Tell entries the changes of ranges only, pack routes, count late renewals

OWNER: keys went to another server 2.5 s before the hold of their holder was over. The hold was read when the move began, while a renewal of the new leader was on its way; 10.548 s is the election plus one hold, the renewal came at 6.9 s. The server was overloaded and reset the release. CONFIG: 920 routes were confirmed at 23.39 s and reached some entries after 2.5 s. An entry's link has 2 to 4 Mbit/s; each publication was sent as plain JSON, and each move sent all ranges of the pool to all entries, up to 50 times a second.

Change: the hold is read after the call in progress has ended. Entries get the ranges that are new since what they were told; the publication is packed with zlib once; updates come at most 20 times a second. 'medlarpass explain' reads the story of a request from logs, and lines of requests carry the age of the view.

--- a/packages/medlarpass-cli/src/medlarpass_cli/commands/__init__.py
+++ b/packages/medlarpass-cli/src/medlarpass_cli/commands/__init__.py
@@ -12,6 +12,7 @@
 from medlarpass_cli.commands.domains import ShowDomains
 from medlarpass_cli.commands.drain import Drain
 from medlarpass_cli.commands.drains import ShowDrains
+from medlarpass_cli.commands.explain import Explain
 from medlarpass_cli.commands.grants import ShowGrants
 from medlarpass_cli.commands.in_force import ShowInForce
 from medlarpass_cli.commands.list_items import ListItems
@@ -28,6 +29,7 @@
 
 COMMANDS: tuple[Command, ...] = (
     Check(),
+    Explain(),
     ListItems(),
     ShowItem(),
     PutItem(),
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -23,7 +23,7 @@
 #: a silent connection from a quiet one.
 KEEPALIVE = 0.5
 #: Least seconds between two updates of one entry; changes that come together travel together.
-LEAST_INTERVAL = 0.02
+LEAST_INTERVAL = 0.05
 
 
 class FleetService(fleet_pb2_grpc.FleetServicer):
@@ -87,16 +87,21 @@
         )
         publication = self.fleet.state.publication
         if publication.version > sent.version:
-            # Entries have no use for the operator's text.
-            update.publication.version = publication.version
-            update.publication.document = publication.document
+            update.publication.CopyFrom(self.fleet.packed_publication())
             sent.version = publication.version
         self._add_servers(update, sent)
-        if sent.ranges != self.fleet.ranges_version:
-            sent.ranges = self.fleet.ranges_version
-            update.ranges.CopyFrom(self.fleet.ranges())
+        self._add_ranges(update, sent)
         return update
 
+    def _add_ranges(self, update: fleet_pb2.FleetUpdate, sent: _Sent) -> None:
+        log = self.fleet.newest_ranges()
+        changes = log.since(sent.ranges) if sent.ranges is not None else None
+        sent.ranges = log.version
+        if changes is None:
+            update.ranges.CopyFrom(fleet_pb2.RangeSet(ranges=log.present.values()))
+        else:
+            update.range_changes.extend(changes)
+
     def _add_servers(self, update: fleet_pb2.FleetUpdate, sent: _Sent) -> None:
         present: dict[str, tuple[object, ...]] = {}
         for identity, member in self.fleet.directory.members.items():
@@ -125,7 +130,8 @@
     def __init__(self, version: int) -> None:
         self.version = version
         self.servers: dict[str, tuple[object, ...]] = {}
-        self.ranges = -1
+        #: Version of the ranges; None before the first.
+        self.ranges: int | None = None
 
 
 async def _wait(changed: asyncio.Event, timeout: float) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from medlarpass.ranges import RangeLoads
 from medlarpass.ranges import ServerSpeeds
 from medlarpass.rpc import fleet_pb2
+from medlarpass_daemon.control.fleet.range_log import RangeLog
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -22,6 +24,8 @@
 
 #: Share of a load count that remains after a report period; a hot key shows within seconds.
 LOAD_DECAY = 0.8
+#: Level of zlib; higher levels take longer and save little on JSON.
+PACKING = 6
 
 
 class FleetState:
@@ -36,10 +40,12 @@
         "confirmed",
         "directory",
         "entries",
+        "has_new_ranges",
         "loads",
         "moving",
+        "packed",
         "parsed",
-        "ranges_version",
+        "range_log",
         "speeds",
         "state",
     )
@@ -55,7 +61,9 @@
         self.moving: dict[str, set[tuple[int, int]]] = {}
         #: Entries that watch this replica.
         self.entries = 0
-        self.ranges_version = 0
+        self.has_new_ranges = True
+        self.range_log = RangeLog()
+        self.packed: fleet_pb2.PackedPublication | None = None
         self.parsed: Publication | None = None
         #: Replaced and set on each change.
         self.changed = asyncio.Event()
@@ -74,9 +82,24 @@
 
     def ranges_changed(self) -> None:
         """Note that the ranges, as entries see them, have changed."""
-        self.ranges_version += 1
+        self.has_new_ranges = True
         self.notify()
 
+    def packed_publication(self) -> fleet_pb2.PackedPublication:
+        """Return the publication in force as it is sent; packed once for all entries."""
+        stored = self.state.publication
+        if self.packed is None or self.packed.version != stored.version:
+            document = zlib.compress(stored.document, PACKING)
+            self.packed = fleet_pb2.PackedPublication(version=stored.version, document=document)
+        return self.packed
+
+    def newest_ranges(self) -> RangeLog:
+        """Return the ranges and their latest changes."""
+        if self.has_new_ranges:
+            self.has_new_ranges = False
+            self.range_log.update(self.ranges())
+        return self.range_log
+
     @property
     def publication(self) -> Publication | None:
         """Publication in force."""
@@ -109,16 +132,14 @@
             parts = [rest for part in parts for rest in part.without(low, high)]
         return parts
 
-    def ranges(self) -> fleet_pb2.RangeSet:
-        """Return all ranges with their phases."""
+    def ranges(self) -> Iterable[fleet_pb2.FleetRange]:
+        """Yield all ranges with their phases."""
         held = fleet_pb2.RANGE_PHASE_HELD
         moving = fleet_pb2.RANGE_PHASE_MOVING
-        found: list[fleet_pb2.FleetRange] = []
         for assignment in self.state.ranges.all():
             phase = held if assignment.fence in self.confirmed else moving
-            found.extend(_ranges(self.parts_at_rest(assignment), phase))
-            found.extend(_ranges(self._parts_moving(assignment), moving))
-        return fleet_pb2.RangeSet(ranges=found)
+            yield from _ranges(self.parts_at_rest(assignment), phase)
+            yield from _ranges(self._parts_moving(assignment), moving)
 
     def _parts_moving(self, assignment: RangeAssignment) -> list[RangeAssignment]:
         return [
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
@@ -183,6 +183,15 @@
                 if self.renewed_at.get((part.fence, part.first), 0.0) <= due:
                     self._spawn(self._renew(part))
 
+    async def hold_of(self, part: RangeAssignment) -> float:
+        """Wait for the call in progress and return until when the server may hold the keys.
+
+        Renewals that follow leave out keys that are marked as moving, so nothing extends the hold
+        of these any more. A renewal that was sent before must not arrive after a release either.
+        """
+        async with self.locks.setdefault(part.identity, asyncio.Lock()):
+            return self.book.held_until.get(part.fence, 0.0)
+
     async def release(self, part: RangeAssignment) -> str:
         """Take keys that are marked as moving from their server and return its handover.
 
@@ -191,10 +200,6 @@
         member = self.fleet.directory.members.get(part.identity)
         if member is None or member.notice.life != part.life:
             raise ServerNotReachedError(f"{part.identity} is not known any more")
-        async with self.locks.setdefault(part.identity, asyncio.Lock()):
-            # A renewal that was sent before must not arrive after the release; those that follow
-            # leave out keys that move. The release itself waits for work and blocks no other call.
-            pass
         return await self.calls.release(member.notice, part, RELEASE_TIMEOUT)
 
     async def _grant_first(self, assignment: RangeAssignment, handover: str) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_moves.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_moves.py
@@ -113,7 +113,7 @@
     async def _move(self, part: RangeAssignment, target: RangeAssignment) -> None:
         book = self.grants.book
         key = (part.pool, part.first, part.last)
-        held_until = book.held_until.get(part.fence, 0.0)
+        held_until = await self.grants.hold_of(part)
         try:
             handover = await self.grants.release(part)
             if not book.is_certain(part.fence):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -76,6 +76,7 @@
         server=target.identity if target is not None else None,
         fence=target.fence if target is not None else None,
         revision=path.routing.revision,
+        view_age=path.view_age(),
         code=error.code,
         reason=error.message,
         outcome=error.outcome.value,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -259,6 +259,7 @@
             attempts=request.attempts if request is not None else 0,
             server=target.identity if target is not None else None,
             revision=self.path.routing.revision,
+            view_age=self.path.view_age(),
             code=code,
             outcome=outcome.value,
             seconds=round(seconds, 4),
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_path.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from collections.abc import Callable
     from collections.abc import Set
 
     from medlarpass import Clock
@@ -60,6 +61,7 @@
         "routing",
         "servers",
         "settings",
+        "view_age",
     )
 
     def __init__(
@@ -93,6 +95,8 @@
         #: Orders in flight, which outlive the connection of their caller.
         self.orders: set[asyncio.Task[object]] = set()
         self.is_draining = False
+        #: Returns the seconds since control was last heard, where the entry follows control.
+        self.view_age: Callable[[], float | None] = lambda: None
 
     def retain(self, servers: Set[str], routes: Set[str]) -> None:
         """Drop what is known about servers that left and routes that were deleted.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 
 from typing import TYPE_CHECKING
 
+from medlarpass.rpc import control_pb2
 from medlarpass_daemon.entry.callers import CallersServer
 from medlarpass_daemon.entry.callers.metrics import CallersMetrics
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
@@ -85,6 +87,7 @@
             CallersMetrics(metrics.registry),
             settings.fleet.load_adapter().dialect,
         )
+        self.callers.path.view_age = self.servers.age
         self.watcher = FleetWatcher(
             settings,
             seeds,
@@ -126,18 +129,24 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
     def _apply(self, update: fleet_pb2.FleetUpdate) -> None:
-        if update.HasField("publication") and self.routing.offer(update.publication):
-            publication = self.routing.publication
-            assert publication is not None
-            self.callers.limit_callers(publication.limits)
-            self.metrics.configuration_revision.set(self.routing.revision)
-            self.servers.targets.clear()
+        if update.HasField("publication"):
+            self._publish(update.publication)
         self.callers.path.client.budget.entries_seen(self.watcher.entries)
         self.callers.path.places.entries = self.watcher.entries
         self.servers.apply(update)
         if self.routing.revision:
             self.readiness.clear(NO_PUBLICATION)
 
+    def _publish(self, packed: fleet_pb2.PackedPublication) -> None:
+        document = zlib.decompress(packed.document)
+        if not self.routing.offer(control_pb2.Publish(version=packed.version, document=document)):
+            return
+        publication = self.routing.publication
+        assert publication is not None
+        self.callers.limit_callers(publication.limits)
+        self.metrics.configuration_revision.set(self.routing.revision)
+        self.servers.targets.clear()
+
     async def _drop_departed(self) -> None:
         while True:
             await asyncio.sleep(DROP_INTERVAL)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
@@ -7,6 +7,7 @@
 from bisect import bisect_right
 from typing import TYPE_CHECKING
 
+from medlarpass.ranges import RangeAssignment
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.entry.callers import NoOwnerError
 from medlarpass_daemon.entry.callers.exceptions import InvalidHeaderError
@@ -16,6 +17,7 @@
 from medlarpass_daemon.entry.fleet.events import SERVER_LEARNED
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
     from medlarpass import Clock
@@ -40,11 +42,17 @@
         self.firsts: list[int] = []
         self.ranges: list[fleet_pb2.FleetRange] = []
 
-    def add(self, found: fleet_pb2.FleetRange) -> None:
-        """Add a range; ranges come in any order and never overlap."""
-        place = bisect_right(self.firsts, found.assignment.first)
-        self.firsts.insert(place, found.assignment.first)
-        self.ranges.insert(place, found)
+    def put(self, found: fleet_pb2.FleetRange) -> None:
+        """Put a range in the place of those that it overlaps."""
+        first, last = found.assignment.first, found.assignment.last
+        begin = bisect_right(self.firsts, first) - 1
+        if begin < 0 or self.ranges[begin].assignment.last < first:
+            begin += 1
+        end = max(bisect_right(self.firsts, last), begin)
+        parts = [part for old in self.ranges[begin:end] for part in _outside(old, first, last)]
+        parts = sorted([*parts, found], key=lambda each: each.assignment.first)
+        self.ranges[begin:end] = parts
+        self.firsts[begin:end] = [each.assignment.first for each in parts]
 
     def find(self, key: int) -> fleet_pb2.FleetRange | None:
         """Return the range of a key."""
@@ -67,6 +75,7 @@
     __slots__ = (
         "change",
         "clock",
+        "heard_at",
         "loads",
         "ranges",
         "retired_at",
@@ -87,18 +96,29 @@
         self.ranges: dict[str, PoolRanges] = {}
         #: Usable servers by pool, built on first use after a change.
         self.targets: dict[str, list[Target]] = {}
+        #: Reading of the clock of the last update; None before the first.
+        self.heard_at: float | None = None
         #: Replaced and set on each change.
         self.change = asyncio.Event()
 
+    def age(self) -> float | None:
+        """Return the seconds since the leader was last heard; it speaks twice a second."""
+        return None if self.heard_at is None else round(self.clock.now() - self.heard_at, 3)
+
     def apply(self, update: fleet_pb2.FleetUpdate) -> None:
         """Take an update of the leader."""
+        self.heard_at = self.clock.now()
         if update.is_whole:
             self._drop_others({server.identity for server in update.servers})
         for server in update.servers:
             self._learn(server)
         if update.HasField("ranges"):
-            self._learn_ranges(update.ranges)
-        if update.is_whole or update.servers or update.HasField("ranges"):
+            self.ranges = {}
+            self._learn_ranges(update.ranges.ranges, is_whole=True)
+        elif update.range_changes:
+            self._learn_ranges(update.range_changes, is_whole=False)
+        has_ranges = update.HasField("ranges") or update.range_changes
+        if update.is_whole or update.servers or has_ranges:
             self.targets.clear()
             self.change.set()
             self.change = asyncio.Event()
@@ -200,18 +220,23 @@
             self.retired_at.pop(identity, None)
             SERVER_DROPPED.log(server=identity)
 
-    def _learn_ranges(self, message: fleet_pb2.RangeSet) -> None:
-        ranges: dict[str, PoolRanges] = {}
-        for found in message.ranges:
-            ranges.setdefault(found.assignment.pool, PoolRanges()).add(found)
-        self.ranges = ranges
+    def _learn_ranges(self, found: Sequence[fleet_pb2.FleetRange], is_whole: bool) -> None:
+        for each in found:
+            self.ranges.setdefault(each.assignment.pool, PoolRanges()).put(each)
         RANGES_LEARNED.log(
-            ranges=len(message.ranges),
-            moving=sum(found.phase != HELD for found in message.ranges),
-            newest_fence=max((found.assignment.fence for found in message.ranges), default=0),
+            is_whole=is_whole,
+            ranges=len(found),
+            moving=sum(each.phase != HELD for each in found),
+            newest_fence=max((each.assignment.fence for each in found), default=0),
         )
 
 
+def _outside(old: fleet_pb2.FleetRange, first: int, last: int) -> Iterator[fleet_pb2.FleetRange]:
+    """Yield what remains of a range when keys are taken out of it."""
+    for part in RangeAssignment.from_proto(old.assignment).without(first, last):
+        yield fleet_pb2.FleetRange(assignment=part.to_proto(), phase=old.phase)
+
+
 def _number(key: str) -> int:
     if not key.isdecimal() or int(key) > LARGEST_KEY:
         raise InvalidHeaderError(f"expected a key from 0 to {LARGEST_KEY}")
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -168,6 +168,30 @@
     assert world.unheld() == 0
 
 
+async def test_a_failed_release_counts_the_renewal_that_was_on_its_way(new_world: Any) -> None:
+    """Guards against keys that are given away while their server holds them (OWNER, scale-1).
+
+    The hold was read before a renewal in progress had ended, which extended it.
+    """
+    world = new_world(6)
+    await world.run(2)
+    grants, server = world.keeper.grants, world.servers["s1"]
+    lock = grants.locks.setdefault("s1", asyncio.Lock())
+    held = next(each for each in world.state.ranges.all() if each.identity == "s1")
+    async with lock:
+        world.keeper.moves.begin([held], held.with_bounds(held.first, held.first + 9))
+        target = next(iter(world.keeper.moves.targets.values()))
+        target.identity = "s2"
+        await world.run(1.5)
+        server.arrive(held)
+        grants.book.answered(held.fence)
+        server.is_cut = True
+    for _ in range(20):
+        await asyncio.sleep(0)
+    until = min(world.keeper.moves.released.values())
+    assert until >= max(each.until for each in server.grants)
+
+
 async def test_a_deposed_leader_sends_nothing(new_world: Any) -> None:
     """Guards against renewals by a leader whose keys another one has given away."""
     world = new_world(3)
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -6,8 +6,15 @@
 import json
 import signal
 
+from typing import TYPE_CHECKING
 from typing import Any
 
+from medlarpass_cli.__main__ import main
+from tools.soak.fleet_system import PATIENCE
+
+if TYPE_CHECKING:
+    import pytest
+
 
 async def test_each_kind_of_request_is_served(system: Any) -> None:
     """Guards against a path that works in its parts only."""
@@ -98,6 +105,30 @@
     assert (end["outcome"], end["pool"]) == ("not-run", "art")
 
 
+async def test_each_kind_of_failure_is_explained_from_its_id(
+    system: Any, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against logs that lack what leads from a failed request to its cause."""
+    orders = next(server for server in system.servers if server.pool == "orders")
+    orders.delay = 30.0
+    late = asyncio.create_task(system.ask("/orders/1", "POST", request_id="unknown-order"))
+    owner = next(server for server in system.servers if server.holds(5))
+    await owner.stop()
+    await system.until_true(
+        lambda: system.ask("/stock/1", key=5, request_id="lost-owner"), lambda got: got[0] == 503
+    )
+    assert (await late)[0] == 504
+    causes = {"unknown-order": "no answer came until", "lost-owner": "server opened no connection"}
+    logs = [str(system.folder / f"{name}.log") for name in system.addresses]
+    for request_id, cause in causes.items():
+        await system.until_true(
+            lambda each=request_id: asyncio.sleep(0, story(system, each)), lambda got: len(got) >= 2
+        )
+        assert await asyncio.to_thread(main, ["explain", request_id, *logs]) == 0
+        assert cause in capsys.readouterr().out
+    assert story(system, "lost-owner")[0]["view_age"] < PATIENCE
+
+
 async def leader_of(system: Any) -> str:
     """Return the name of the process that leads control."""
 
