Leave servers whose address is used again, and try lost ones less and less

Change: control does not name servers whose address a later one has taken. A refusal as misdirected without a key counts as not reached. In a pool a server that was not reached is tried after 0.3, 0.6, ... 5 s, unless no other is left; a new life of it starts afresh.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -104,7 +104,8 @@
 
     def _add_servers(self, update: fleet_pb2.FleetUpdate, sent: _Sent) -> None:
         present: dict[str, tuple[object, ...]] = {}
-        for identity, member in self.fleet.directory.members.items():
+        members = {each.notice.identity: each for each in self.fleet.directory.present()}
+        for identity, member in members.items():
             notice = member.notice
             key = (notice.life, notice.address, notice.pool, member.is_retired)
             present[identity] = key
@@ -113,9 +114,7 @@
         if sent.servers.keys() - present.keys():
             update.is_whole = True
             del update.servers[:]
-            update.servers.extend(
-                member.to_proto() for member in self.fleet.directory.members.values()
-            )
+            update.servers.extend(member.to_proto() for member in members.values())
         sent.servers = present
 
     def _not_leader(self) -> control_pb2.NotLeader:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/place.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/place.py
@@ -68,8 +68,8 @@
 
     def failed(self, error: MedlarpassError) -> None:
         """Count an attempt that ended with an error."""
-        if isinstance(error, ServerUnreachableError):
-            self.places.unreachable(self.target.identity)
+        if isinstance(error, ServerUnreachableError) or self._is_replaced(error):
+            self.places.unreachable(self.target)
         elif isinstance(error, ServerRefusedError):
             self.places.answered(self.target.identity)
         if isinstance(error, ServerRefusedError) and error.refusal not in MOVED:
@@ -79,6 +79,14 @@
         else:
             self.dropped()
 
+    def _is_replaced(self, error: MedlarpassError) -> bool:
+        """Return whether another server answers at the address.
+
+        Without a key, only that is a reason to say that the request was meant for somebody else.
+        """
+        is_moved = isinstance(error, ServerRefusedError) and error.refusal in MOVED
+        return is_moved and self.target.fence is None
+
     def dropped(self) -> None:
         """Count an attempt that ended for a reason outside the server."""
         if not self._close():
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/places.py
@@ -43,6 +43,9 @@
 FAIR_DEPTH = 2.0
 #: Seconds for which a server gets nothing after a connection to it could not be opened.
 UNREACHABLE_PAUSE = 0.3
+#: Longest time for which other servers are preferred to one that was not reached again and again;
+#: each try at a lost server costs its caller a connection that fails.
+LONGEST_SHUN = 5.0
 #: A server is taken for stalled when it owes at least this many answers, ...
 STALL_ATTEMPTS = 2
 #: ... and nothing came from it for this many seconds ...
@@ -51,6 +54,22 @@
 STALL_RATIO = 3.0
 
 
+class Shun:
+    """A life of a server that was not reached.
+
+    :param life: the life
+    :param failures: tries in a row that did not reach it
+    :param until: reading of the clock until which other servers are preferred
+    """
+
+    __slots__ = ("failures", "life", "until")
+
+    def __init__(self, life: int, failures: int, until: float) -> None:
+        self.life = life
+        self.failures = failures
+        self.until = until
+
+
 class ServerPlaces:
     """Hands out places at servers and takes the results of attempts.
 
@@ -70,6 +89,7 @@
         "lag",
         "limiters",
         "longest_wait",
+        "shuns",
         "times",
         "waiting",
     )
@@ -88,6 +108,8 @@
         self.times: dict[str, tuple[int, float]] = {}
         #: Reading of the clock until which a server gets nothing, by identity.
         self.avoided_until: dict[str, float] = {}
+        #: What keeps a life of a server from being preferred, by identity.
+        self.shuns: dict[str, Shun] = {}
         #: Reading of the clock of the last answer, by identity.
         self.answered_at: dict[str, float] = {}
         self.limiters: dict[str, ConcurrencyLimiter] = {}
@@ -144,6 +166,7 @@
             and self._has_free_slot(target)
             and not self.ejector.is_ejected(target.identity)
             and not self.is_avoided(target.identity)
+            and not self.is_shunned(target)
         ]
         return near or targets
 
@@ -151,14 +174,30 @@
         load = self.balancer.loads.get(target.identity)
         return load is None or load.in_flight < max(target.slots // 2, 1)
 
-    def unreachable(self, identity: str) -> None:
-        """Send a server nothing for a moment after a connection could not be opened."""
-        self.avoided_until[identity] = self.clock.now() + UNREACHABLE_PAUSE
+    def unreachable(self, target: Target) -> None:
+        """Send a server nothing for a moment after it was not reached.
+
+        Other servers are preferred for longer, twice as long each time.
+        """
+        now = self.clock.now()
+        self.avoided_until[target.identity] = now + UNREACHABLE_PAUSE
+        known = self.shuns.get(target.identity)
+        failures = known.failures if known and known.life == target.incarnation else 0
+        span = min(UNREACHABLE_PAUSE * 2.0 ** min(failures, 30), LONGEST_SHUN)
+        self.shuns[target.identity] = Shun(target.incarnation, failures + 1, now + span)
+
+    def is_shunned(self, target: Target) -> bool:
+        """Return whether other servers are preferred, since this one was not reached."""
+        known = self.shuns.get(target.identity)
+        if known is None or known.life != target.incarnation:
+            return False
+        return self.clock.now() < known.until
 
     def answered(self, identity: str) -> None:
         """Note that a server has answered something."""
         self.answered_at[identity] = self.clock.now()
         self.avoided_until.pop(identity, None)
+        self.shuns.pop(identity, None)
 
     def note_time(self, identity: str, seconds: float) -> None:
         """Count the time of an answer for the next report."""
@@ -213,6 +252,7 @@
         """Drop what is known about a server that left."""
         self.balancer.forget(identity)
         self.avoided_until.pop(identity, None)
+        self.shuns.pop(identity, None)
         self.answered_at.pop(identity, None)
         self.ejector.forget(identity)
         limiter = self.limiters.get(identity)
@@ -231,6 +271,7 @@
             and (has_waited or not self.waiting.get(target.identity))
             and self._has_room(target)
         ]
+        free = [target for target in free if not self.is_shunned(target)] or free
         untried = [target for target in free if target.identity not in tried]
         target = self._choose(untried, targets) or self._choose(free, targets)
         if target is None:
--- a/packages/medlarpass-daemon/tests/entry/callers/test_places_avoidance.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_places_avoidance.py
@@ -7,6 +7,7 @@
 import pytest
 
 from medlarpass import ManualClock
+from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
 from medlarpass_daemon.entry.callers.exceptions import ServerUnreachableError
 from medlarpass_daemon.entry.callers.interfaces import Target
@@ -92,3 +93,51 @@
     assert made.places.near([far, near], "a", frozenset()) == [near]
     assert made.places.near([far], "a", frozenset()) == [far]
     assert made.places.near([far, near], "a", frozenset({"near"})) == [far, near]
+
+
+async def test_a_lost_server_is_tried_less_and_less(made: Made) -> None:
+    """Server that is gone for good: guards against a failed connection every 0.3 s all day."""
+    lost, well = target("lost"), target("well")
+    tries = 0
+    for _ in range(200):
+        place = await made.take(lost, well)
+        if place.target is lost:
+            tries += 1
+            place.failed(ServerUnreachableError(""))
+        else:
+            place.latency = 0.1
+            place.finished(200)
+        made.clock.advance(0.1)
+    assert tries <= 8
+
+
+async def test_a_lost_server_is_tried_when_no_other_is_left(made: Made) -> None:
+    """Guards against an entry that serves nobody for seconds after its own cut has healed."""
+    lost = [target("one"), target("two")]
+    for _ in range(12):
+        place = await made.take(*lost)
+        place.failed(ServerUnreachableError(""))
+        made.clock.advance(UNREACHABLE_PAUSE + 0.01)
+    assert await made.take(*lost)
+
+
+async def test_a_new_life_of_a_lost_server_is_not_shunned(made: Made) -> None:
+    """Guards against a server that waits for work after its restart."""
+    lost = target("lost")
+    for _ in range(4):
+        made.places.unreachable(lost)
+    again = Target("lost", 2, "10.0.0.1", 80, 4, 100, domain="a")
+    assert made.places.is_shunned(lost)
+    assert not made.places.is_shunned(again)
+
+
+async def test_an_address_with_another_server_is_left(made: Made) -> None:
+    """Address that is used again: guards against the quick refusals of a server that is gone.
+
+    They made it look like the least busy one, and a fifth of the downloads went there.
+    """
+    gone, well = target("gone"), target("well")
+    place = await made.take(gone)
+    place.failed(ServerRefusedError("not-owner"))
+    for _ in range(3):
+        assert (await made.take(gone, well)).target is well
--- a/packages/medlarpass/src/medlarpass/fleet/fleet_directory.py
+++ b/packages/medlarpass/src/medlarpass/fleet/fleet_directory.py
@@ -77,6 +77,10 @@
             if member.notice.pool == pool and not member.is_retired:
                 yield member
 
+    def present(self) -> Iterable[FleetMember]:
+        """Yield the servers that are at their addresses, as far as is known."""
+        return (member for member in self.members.values() if not self.is_replaced(member))
+
     def is_replaced(self, member: FleetMember) -> bool:
         """Return whether a later server has announced itself at the same address."""
         notice = member.notice
--- a/packages/medlarpass/tests/fleet/test_fleet_directory.py
+++ b/packages/medlarpass/tests/fleet/test_fleet_directory.py
@@ -55,3 +55,14 @@
     assert directory.forget_silent() == []
     clock.advance(61)
     assert directory.forget_silent() == ["a"]
+
+
+def test_a_server_whose_address_was_taken_is_not_present() -> None:
+    """Address that is used again: guards against requests to a server that is gone.
+
+    The other server refuses them at once, which makes the lost one look idle.
+    """
+    directory = FleetDirectory(ManualClock())
+    directory.observe(notice("a", life=1))
+    directory.observe(notice("b", life=2))
+    assert [member.notice.identity for member in directory.present()] == ["b"]
