Let an entry that knows nothing begin with the log of a follower

Change: a replica that does not lead tells an entry without any version what its log says of routes, servers and ranges, once, and then names the leader as before. The entry takes it as a cut-off entry keeps its view; the leader's word replaces it.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from medlarpass.fleet import FleetMember
+from medlarpass.fleet import ServerNotice
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
@@ -46,6 +48,8 @@
         replica = self.log.replica
         term = replica.term
         if not replica.is_leader:
+            if not request.version and self.fleet.state.publication.version:
+                yield self._from_log()
             yield fleet_pb2.FleetUpdate(not_leader=self._not_leader())
             return
         self.fleet.entries += 1
@@ -79,6 +83,28 @@
         is_member = await self.membership.join(request)
         return fleet_pb2.JoinResponse(is_member=is_member, leader_address=self.log.leader_address())
 
+    def _from_log(self) -> fleet_pb2.FleetUpdate:
+        """Return what the log says, so that an entry in a cut-off domain can begin to serve.
+
+        It may be older than what the leader knows, as the view of any cut-off entry may be.
+        """
+        state = self.fleet.state
+        held = fleet_pb2.RANGE_PHASE_HELD
+        return fleet_pb2.FleetUpdate(
+            from_follower=True,
+            publication=self.fleet.packed_publication(),
+            servers=[
+                FleetMember(ServerNotice.from_record(record), 0.0).to_proto()
+                for record in state.servers.all()
+            ],
+            ranges=fleet_pb2.RangeSet(
+                ranges=[
+                    fleet_pb2.FleetRange(assignment=each.to_proto(), phase=held)
+                    for each in state.ranges.all()
+                ]
+            ),
+        )
+
     def _update(self, term: int, sent: _Sent) -> fleet_pb2.FleetUpdate:
         update = fleet_pb2.FleetUpdate(
             term=term,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -10,6 +10,7 @@
 
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
+from medlarpass_daemon.entry.fleet.events import FOLLOWER_HEARD
 from medlarpass_daemon.entry.fleet.events import WATCH_LOST
 from medlarpass_daemon.entry.fleet.events import WATCH_REGAINED
 
@@ -145,6 +146,10 @@
                 if not isinstance(update, fleet_pb2.FleetUpdate):
                     # The stream has ended.
                     return ""
+                if update.from_follower:
+                    FOLLOWER_HEARD.log(control=address, version=update.publication.version)
+                    self.apply(update)
+                    continue
                 if update.HasField("not_leader"):
                     return str(update.not_leader.leader_address)
                 if update.term < self.term:
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -76,6 +76,19 @@
     )
 
 
+async def test_an_entry_that_restarts_without_a_leader_serves(system: Any) -> None:
+    """Guards against a cut-off domain whose restarted entries refuse all requests."""
+    leader = await leader_of(system)
+    lost = [leader, next(name for name in system.controls if name != leader)]
+    for name in (*lost, "entry"):
+        system.processes[name].send_signal(signal.SIGKILL)
+        await system.processes[name].wait()
+    await system.start_process("entry")
+    for path in ("/orders/7", "/art/7"):
+        await system.until_served(path)
+    assert "follower_heard" in events(system, "entry")
+
+
 async def test_a_stop_of_the_entry_finishes_what_runs(system: Any) -> None:
     """Guards against a planned stop that cuts off an order."""
     server = next(server for server in system.servers if server.pool == "orders")
