Renew a server that was not reached only after its next heartbeat

Renewals to a server that was not reached were tried again every 0.4 s, so one met the next server at the address before control had heard of it.

Change: after a call that did not reach a life of a server, it gets grants only once it has been heard again.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,7 @@
     from collections.abc import Coroutine
 
     from medlarpass import Clock
+    from medlarpass.fleet import FleetMember
     from medlarpass_daemon.control.fleet.fleet_state import FleetState
     from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
     from medlarpass_daemon.control.fleet.server_calls import ServerCalls
@@ -67,6 +69,7 @@
         "renewed_at",
         "settings",
         "tasks",
+        "unreached",
     )
 
     def __init__(
@@ -99,6 +102,8 @@
         self.locks: dict[str, asyncio.Lock] = {}
         #: Reading of the clock of the last failed grant, by identity and life of the server.
         self.failing: dict[tuple[str, int], float] = {}
+        #: Reading of the clock when a life of a server was not reached, by identity and life.
+        self.unreached: dict[tuple[str, int], float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     def begin(self) -> None:
@@ -117,6 +122,7 @@
         self.renewed_at.clear()
         self.locks.clear()
         self.failing.clear()
+        self.unreached.clear()
         self.ended.clear()
         self.pending.clear()
 
@@ -197,6 +203,8 @@
             member = self.fleet.directory.members.get(assignment.identity)
             if member is None or member.notice.life != assignment.life:
                 continue
+            if not self._is_there(member):
+                continue
             if self.is_pending(assignment.fence):
                 continue
             for part in self.fleet.parts_at_rest(assignment):
@@ -243,6 +251,18 @@
     async def _renew(self, assignment: RangeAssignment) -> None:
         await self._grant(assignment)
 
+    def _is_there(self, member: FleetMember) -> bool:
+        """Return whether a server has spoken since it was not reached.
+
+        Until then it may have ended, and a new life may listen at its address, which must not get
+        keys under a fence that another life had.
+        """
+        server = (member.notice.identity, member.notice.life)
+        if member.seen_at <= self.unreached.get(server, -math.inf):
+            return False
+        self.unreached.pop(server, None)
+        return True
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
@@ -257,6 +277,8 @@
         async with self.locks.setdefault(assignment.identity, asyncio.Lock()):
             if not self.lease.is_held or not self._is_in_force(assignment):
                 return False
+            if not self._is_there(member):
+                return False
             before = self.book.held_until.get(assignment.fence, 0.0)
             self.book.sending(assignment.fence, GRANT_TIMEOUT)
             try:
@@ -265,6 +287,7 @@
                 )
             except ServerNotReachedError as error:
                 self.book.held_until[assignment.fence] = before
+                self.unreached[assignment.identity, assignment.life] = self.clock.now()
                 self._failed(assignment, error)
             except HigherFenceError as error:
                 self.book.answered(assignment.fence)
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -204,6 +204,27 @@
     assert world.unheld() == 0
 
 
+async def test_a_server_that_was_not_reached_is_renewed_after_its_next_word(
+    new_world: Any,
+) -> None:
+    """Guards against a renewal that reaches the next server at an address (OWNER, key-holders).
+
+    Renewals were tried again every 0.4 s, and a new server listens before its first heartbeat.
+    """
+    world = new_world(3)
+    await world.run(2)
+    server = world.servers["s1"]
+    server.is_up = False
+    await world.run(1.5)
+    server.is_up = True
+    granted = len(server.seen)
+    for _ in range(10):
+        await world.step(heartbeats=False)
+    assert len(server.seen) == granted
+    await world.run(1.0)
+    assert len(server.seen) > granted
+
+
 async def test_a_failed_release_counts_the_renewal_that_was_on_its_way(new_world: Any) -> None:
     """Guards against keys that are given away while their server holds them (OWNER, scale-1).
 
--- a/tests/platform_adapter/test_platform_server_calls.py
+++ b/tests/platform_adapter/test_platform_server_calls.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self.calls: list[tuple[str, Any]] = []
+        self.meant_for = ""
         self.status = 200
         self.is_silent = False
         self.port = 0
@@ -43,6 +44,7 @@
 
     async def answer(self, request: web.Request) -> web.Response:
         self.calls.append((request.path, await request.json()))
+        self.meant_for = request.headers["Medlarpass-Expected-Instance"]
         if self.is_silent:
             await asyncio.sleep(3600)
         return web.Response(status=self.status, headers={"Medlarpass-Handover": "5c0e"})
@@ -116,3 +118,11 @@
     await closed.wait_closed()
     with pytest.raises(ServerNotReachedError):
         await calls.grant(KeyServer().notice(port), ASSIGNMENT, 4.0, "", 20)
+
+
+async def test_a_grant_names_its_server(server: KeyServer, calls: PlatformServerCalls) -> None:
+    """Address that is used again: guards against a grant that the next server there takes."""
+    server.status = 421
+    with pytest.raises(ServerNotReachedError):
+        await calls.grant(server.notice(), ASSIGNMENT, 4.0, "", 20)
+    assert server.meant_for == "i-1"
