Search the logs of a request once

Cause: the last read of the change: RequestStory looked through all events again for each use of the request's own lines, up to six times, and the command searched for related lines twice.

Change: both are found once.

--- a/packages/medlarpass-cli/src/medlarpass_cli/commands/explain.py
+++ b/packages/medlarpass-cli/src/medlarpass_cli/commands/explain.py
@@ -51,13 +51,14 @@
         arguments = context.arguments
         lines = [line for path in arguments.files for line in _read(path)]
         story = RequestStory(arguments.request_id, lines)
-        rows = [*map(_row, story.related()), *map(_row, story.own)]
+        related = story.related()
+        rows = [*map(_row, related), *map(_row, story.own)]
         rows.append({"time": "", "event": "cause", "details": story.cause})
         whole = {
             "request_id": story.request_id,
             "cause": story.cause,
             "events": story.own,
-            "related": story.related(),
+            "related": related,
         }
         context.output.rows(["time", "event", "details"], rows, whole)
 
--- a/packages/medlarpass-cli/src/medlarpass_cli/request_story.py
+++ b/packages/medlarpass-cli/src/medlarpass_cli/request_story.py
@@ -39,16 +39,13 @@
     :param lines: events of all processes, parsed
     """
 
-    __slots__ = ("events", "request_id")
+    __slots__ = ("events", "own", "request_id")
 
     def __init__(self, request_id: str, lines: Iterable[dict[str, Any]]) -> None:
         self.request_id = request_id
         self.events = sorted(lines, key=lambda event: float(event["timestamp"]))
-
-    @property
-    def own(self) -> list[dict[str, Any]]:
-        """Events that carry the id of the request."""
-        return [event for event in self.events if event.get("request_id") == self.request_id]
+        #: Events that carry the id of the request.
+        self.own = [event for event in self.events if event.get("request_id") == request_id]
 
     @property
     def cause(self) -> str:
