Log why an entry lost the stream of its control replica

Change: cause, number of updates and seconds in the event. Nothing else. Result: tests/documents and the entry's fleet tests pass.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -62,6 +62,7 @@
         "sources",
         "term",
         "times",
+        "updates",
         "version",
     )
 
@@ -90,22 +91,29 @@
         self.entries = 1
         self.is_connected = True
         self.pause = LEAST_PAUSE
+        #: Updates that the present stream has brought.
+        self.updates = 0
 
     async def run(self) -> None:
         """Follow control until cancelled."""
         hint = ""
         while True:
             address = hint or self.sources.next()
+            self.updates = 0
+            began_at = asyncio.get_running_loop().time()
             try:
                 hint = await self._follow(address)
-            except (grpc.aio.AioRpcError, TimeoutError):
-                hint = ""
+                cause = "another replica is named" if hint else "the replica has ended it"
+            except grpc.aio.AioRpcError as error:
+                hint, cause = "", str(error.code())
+            except TimeoutError:
+                hint, cause = "", "silence"
             if hint and hint != address and hint == self.sources.first():
                 # A change of the replica is no loss; what is known stays in force meanwhile. A
                 # leader that has just been elected names itself and is asked again after a pause.
                 self.source = ""
                 continue
-            self._lost(address)
+            self._lost(address, cause, asyncio.get_running_loop().time() - began_at)
             if not hint or hint == address:
                 hint = ""
                 await asyncio.sleep(self.pause * random.uniform(0.5, 1.0))
@@ -162,6 +170,7 @@
                 if update.term < self.term:
                     # A deposed leader that does not know it yet.
                     return ""
+                self.updates += 1
                 self._take(address, update)
                 wait = SILENCE
                 has_stayed = asyncio.get_running_loop().time() >= leave_at
@@ -182,8 +191,15 @@
             self.sources.served()
         self.apply(update)
 
-    def _lost(self, address: str) -> None:
+    def _lost(self, address: str, cause: str, seconds: float) -> None:
         self.source = ""
         if self.is_connected and self.term:
             self.is_connected = False
-            WATCH_LOST.log(control=address, term=self.term, version=self.version())
+            WATCH_LOST.log(
+                control=address,
+                term=self.term,
+                version=self.version(),
+                cause=cause,
+                updates=self.updates,
+                seconds=round(seconds, 3),
+            )
