--- a/tools/bench/relay.py
+++ b/tools/bench/relay.py
@@ -12,6 +12,8 @@
 from tools.bench.ports import LOOPBACK
 
 CHUNK = 64 * 1024
+#: Bytes that a link with a bound passes on at a time.
+SMALL_CHUNK = 1024
 CHECK_PAUSE = 0.01
 #: Linger on, for 0 s: a close resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -32,6 +34,8 @@
         #: Like ``cut``, for what the target sends only.
         self.cut_back = False
         self.delay = 0.0
+        #: Bytes a second that the target can send; 0 sets no bound.
+        self.rate_back = 0
         self.writers: set[asyncio.StreamWriter] = set()
 
 
@@ -137,10 +141,12 @@
     link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_back: bool
 ) -> None:
     with suppress(OSError):
-        while data := await reader.read(CHUNK):
+        while data := await reader.read(SMALL_CHUNK if is_back and link.rate_back else CHUNK):
             await _passable(link, is_back)
             if link.delay:
                 await asyncio.sleep(link.delay)
+            if is_back and link.rate_back:
+                await asyncio.sleep(len(data) / link.rate_back)
             writer.write(data)
             await writer.drain()
 
