Send publications as changes, in small parts

Cause: each publication went whole in one message behind every change, also in the first part of a whole view. The next replica began the same message anew. Ruled out: a loop without end in the entry; the replica that goes silent (its test passed before).

Change: control keeps the latest 16 publications and sends what changes in the one that a watcher has, packed once for all watchers and in parts of 12 KB, between which servers and ranges go on. A watcher with another version gets all routes in parts. Routes that stay are not built again, neither at relays nor at entries.

A change of one of 3,500 routes is an update below 1,000 bytes.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_keeper.py
@@ -13,6 +13,8 @@
 from medlarpass.rpc import fleet_pb2_grpc
 from medlarpass_daemon.control.fleet import events
 from medlarpass_daemon.control.fleet.relayed_ranges import RelayedRanges
+from medlarpass_daemon.exceptions import PublicationGapError
+from medlarpass_daemon.publication_parts import PublicationParts
 
 if TYPE_CHECKING:
     from medlarpass import Clock
@@ -104,7 +106,7 @@
             if address and address != self.own.address:
                 try:
                     await self._relay(address)
-                except (grpc.aio.AioRpcError, TimeoutError) as error:
+                except (grpc.aio.AioRpcError, TimeoutError, PublicationGapError) as error:
                     self.failure = f"{address}: {type(error).__name__}"
             if self.is_relaying and not self.is_current:
                 self.is_relaying = False
@@ -137,6 +139,7 @@
         )
         call = stub.Watch(request)
         ranges = RelayedRanges()
+        parts = PublicationParts()
         is_first = True
         try:
             while not self.leads:
@@ -151,17 +154,21 @@
                     is_first = False
                     self.is_relaying = True
                     events.RELAY_BEGUN.log(control=address, term=update.term)
-                self._take(update, ranges)
+                self._take(update, ranges, parts)
         finally:
             call.cancel()
 
-    def _take(self, update: fleet_pb2.FleetUpdate, ranges: RelayedRanges) -> None:
+    def _take(
+        self, update: fleet_pb2.FleetUpdate, ranges: RelayedRanges, parts: PublicationParts
+    ) -> None:
         feed = self.fleet.feed
         feed.take_head(update.term, update.entries)
         if update.sources:
             feed.take_sources(list(update.controls), list(update.sources))
         if update.HasField("publication"):
-            feed.take_publication(update.publication)
+            document = parts.take(update.publication, feed.publications.document)
+            if document is not None:
+                feed.take_publication(document)
         if update.is_whole or update.servers or update.gone:
             servers = {} if update.is_whole else dict(feed.servers.present)
             for identity in update.gone:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_feed.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_feed.py
@@ -4,16 +4,19 @@
 
 import asyncio
 
+from collections import deque
 from itertools import islice
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet.change_log import ChangeLog
+from medlarpass_daemon.control.fleet.publication_log import PublicationLog
 from medlarpass_daemon.control.fleet.range_log import RangeLog
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from typing import Any
 
 Item = TypeVar("Item")
 
@@ -28,10 +31,12 @@
     :param publication: version of the publication that the watcher has in force
     """
 
-    __slots__ = ("publication", "ranges", "servers", "sources")
+    __slots__ = ("publication", "ranges", "servers", "sources", "transfer")
 
     def __init__(self, publication: int) -> None:
         self.publication = publication
+        #: Parts of a newer publication that the watcher has not been sent yet.
+        self.transfer: deque[fleet_pb2.PackedPublication] = deque()
         #: Versions of the logs; None before the first update.
         self.servers: int | None = None
         self.ranges: int | None = None
@@ -40,7 +45,15 @@
     @property
     def key(self) -> tuple[int | None, ...]:
         """All versions; watchers with the same ones get the same update."""
-        return self.publication, self.servers, self.ranges, self.sources
+        version, part = 0, 0
+        if self.transfer:
+            version, part = self.transfer[0].version, self.transfer[0].part
+        return self.publication, version, part, self.servers, self.ranges, self.sources
+
+    @property
+    def has_more(self) -> bool:
+        """Whether the watcher waits for the rest of a publication."""
+        return bool(self.transfer)
 
 
 class FleetFeed:
@@ -55,7 +68,7 @@
         "controls",
         "entries",
         "parts",
-        "publication",
+        "publications",
         "ranges",
         "servers",
         "sources",
@@ -67,7 +80,7 @@
     def __init__(self) -> None:
         self.servers: ChangeLog[str, fleet_pb2.FleetServer] = ChangeLog()
         self.ranges = RangeLog()
-        self.publication: fleet_pb2.PackedPublication | None = None
+        self.publications = PublicationLog()
         #: The leader and its relays.
         self.sources: list[fleet_pb2.FleetSource] = []
         #: Addresses of all control replicas.
@@ -88,7 +101,7 @@
     @property
     def publication_version(self) -> int:
         """Version of the publication; 0 before the first."""
-        return self.publication.version if self.publication is not None else 0
+        return self.publications.version
 
     def take_servers(self, servers: Iterable[fleet_pb2.FleetServer]) -> None:
         """Take all servers that are there."""
@@ -102,10 +115,9 @@
         if self.ranges.version != before:
             self.touch()
 
-    def take_publication(self, packed: fleet_pb2.PackedPublication) -> None:
-        """Take the publication in force; an older one never replaces it."""
-        if packed.version > self.publication_version:
-            self.publication = packed
+    def take_publication(self, document: dict[str, Any]) -> None:
+        """Take the document of the publication in force; an older one never replaces it."""
+        if self.publications.take(document):
             self.touch()
 
     def take_sources(self, controls: list[str], sources: list[fleet_pb2.FleetSource]) -> None:
@@ -128,11 +140,21 @@
         self.changed = asyncio.Event()
 
     def update_for(self, told: Told) -> fleet_pb2.FleetUpdate:
-        """Return what a watcher has not heard yet, and count it as told."""
+        """Return what a watcher has not heard yet, and count it as told.
+
+        Of a large publication an update brings one part; :attr:`Told.has_more` says whether more
+        is due at once.
+        """
+        if not told.transfer:
+            told.transfer.extend(self.publications.parts_since(told.publication))
         key = told.key
         update = self.updates.get(key)
         if update is None:
             update = self.updates[key] = self._build(told)
+        if told.transfer:
+            sent = told.transfer.popleft()
+            if not told.transfer:
+                told.publication = sent.version
         self._count_as_told(told)
         return update
 
@@ -141,8 +163,12 @@
         parts = self.parts.get(told.publication)
         if parts is None:
             parts = self.parts[told.publication] = whole_view(
-                self._head(told), self.servers.present.values(), self.ranges.present.values()
+                self._head(told),
+                self.publications.parts_since(told.publication),
+                self.servers.present.values(),
+                self.ranges.present.values(),
             )
+        told.publication = max(told.publication, self.publication_version)
         self._count_as_told(told)
         return parts
 
@@ -151,7 +177,6 @@
         self.parts.clear()
 
     def _count_as_told(self, told: Told) -> None:
-        told.publication = max(told.publication, self.publication_version)
         told.servers, told.ranges = self.servers.version, self.ranges.version
         told.sources = self.sources_version
 
@@ -160,12 +185,12 @@
         if told.sources != self.sources_version:
             update.controls.extend(self.controls)
             update.sources.extend(self.sources)
-        if self.publication is not None and self.publication.version > told.publication:
-            update.publication.CopyFrom(self.publication)
         return update
 
     def _build(self, told: Told) -> fleet_pb2.FleetUpdate:
         update = self._head(told)
+        if told.transfer:
+            update.publication.CopyFrom(told.transfer[0])
         servers = None if told.servers is None else self.servers.changed_since(told.servers)
         if servers is None:
             update.is_whole = True
@@ -183,17 +208,23 @@
 
 def whole_view(
     head: fleet_pb2.FleetUpdate,
+    publication: Iterable[fleet_pb2.PackedPublication],
     servers: Iterable[fleet_pb2.FleetServer],
     ranges: Iterable[fleet_pb2.FleetRange],
 ) -> list[fleet_pb2.FleetUpdate]:
     """Return a whole view in parts that are small enough for a thin link.
 
     :param head: first part, with what else has to be told
+    :param publication: publication in parts
     :param servers: all servers
     :param ranges: all ranges
     """
     head.begins_whole = True
     parts = [head]
+    for number, piece in enumerate(publication):
+        if number:
+            parts.append(fleet_pb2.FleetUpdate())
+        parts[-1].publication.CopyFrom(piece)
     for servers_part in batched(servers, PART_ITEMS):
         parts.append(fleet_pb2.FleetUpdate(servers=servers_part))
     for ranges_part in batched(ranges, PART_ITEMS):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -89,6 +89,8 @@
             while self._serves(request):
                 changed = feed.changed
                 yield feed.update_for(told)
+                if told.has_more:
+                    continue
                 await asyncio.sleep(least)
                 await wait(changed, keepalive)
             yield fleet_pb2.FleetUpdate(not_leader=self._not_leader())
@@ -130,7 +132,8 @@
         state = self.fleet.state
         held = fleet_pb2.RANGE_PHASE_HELD
         return whole_view(
-            fleet_pb2.FleetUpdate(from_follower=True, publication=self.fleet.packed_publication()),
+            fleet_pb2.FleetUpdate(from_follower=True),
+            self.fleet.packed_publication(),
             (
                 FleetMember(ServerNotice.from_record(record), 0.0).to_proto()
                 for record in state.servers.all()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import zlib
 
 from typing import TYPE_CHECKING
 
@@ -16,6 +15,7 @@
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet.fleet_feed import FleetFeed
 from medlarpass_daemon.control.fleet.watchers import Watchers
+from medlarpass_daemon.publication_parts import packed
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,8 +24,6 @@
     from medlarpass.control import ControlState
     from medlarpass.ranges import RangeAssignment
 
-#: Level of zlib; higher levels take longer and save little on JSON.
-PACKING = 6
 HELD = fleet_pb2.RANGE_PHASE_HELD
 MOVING = fleet_pb2.RANGE_PHASE_MOVING
 
@@ -78,7 +76,7 @@
         self.has_new_servers = True
         #: Ranges by what they say, so that those that stay are not built anew.
         self.known_ranges: dict[tuple[object, ...], fleet_pb2.FleetRange] = {}
-        self.packed: fleet_pb2.PackedPublication | None = None
+        self.packed: list[fleet_pb2.PackedPublication] = []
         self.parsed: Publication | None = None
         #: Replaced and set on each change.
         self.changed = asyncio.Event()
@@ -124,8 +122,9 @@
         :param controls: addresses of all control replicas
         :param own: where this replica is
         """
-        if self.state.publication.version > self.feed.publication_version:
-            self.feed.take_publication(self.packed_publication())
+        publication = self.publication
+        if publication is not None and publication.version > self.feed.publication_version:
+            self.feed.take_publication(publication.document)
         if self.has_new_servers:
             self.has_new_servers = False
             told = self.weights.told
@@ -139,12 +138,11 @@
         self.feed.take_sources(controls, [own, *self.watchers.sources()])
         self.feed.take_head(self.led_term, self.watchers.entries)
 
-    def packed_publication(self) -> fleet_pb2.PackedPublication:
-        """Return the publication in force as it is sent; packed once for all entries."""
+    def packed_publication(self) -> list[fleet_pb2.PackedPublication]:
+        """Return the parts of the publication that the log says, packed once for all entries."""
         stored = self.state.publication
-        if self.packed is None or self.packed.version != stored.version:
-            document = zlib.compress(stored.document, PACKING)
-            self.packed = fleet_pb2.PackedPublication(version=stored.version, document=document)
+        if not self.packed or self.packed[0].version != stored.version:
+            self.packed = packed(stored.version, stored.document)
         return self.packed
 
     @property
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import zlib
 
 from typing import TYPE_CHECKING
 
 from medlarpass.ranges import KeyLoads
-from medlarpass.rpc import control_pb2
 from medlarpass_daemon.entry.callers import CallersServer
 from medlarpass_daemon.entry.callers.metrics import CallersMetrics
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
@@ -25,6 +23,7 @@
     from medlarpass.rpc import fleet_pb2
     from medlarpass_daemon.observability import Metrics
     from medlarpass_daemon.observability import Readiness
+    from medlarpass_daemon.publication_parts import PublicationParts
     from medlarpass_daemon.rpc_channels import RpcChannels
     from medlarpass_daemon.seeds import Seeds
     from medlarpass_daemon.settings import DaemonSettings
@@ -128,19 +127,16 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    def _apply(self, update: fleet_pb2.FleetUpdate) -> None:
-        if update.HasField("publication"):
-            self._publish(update.publication)
+    def _apply(self, update: fleet_pb2.FleetUpdate, parts: PublicationParts) -> None:
+        if update.HasField("publication") and self.routing.take(update.publication, parts):
+            self._published()
         self.callers.path.client.budget.entries_seen(self.watcher.entries)
         self.callers.path.places.entries_seen(self.watcher.entries)
         self.servers.apply(update)
         if self.routing.revision and self.servers.is_complete:
             self.readiness.clear(NO_PUBLICATION)
 
-    def _publish(self, packed: fleet_pb2.PackedPublication) -> None:
-        document = zlib.decompress(packed.document)
-        if not self.routing.offer(control_pb2.Publish(version=packed.version, document=document)):
-            return
+    def _published(self) -> None:
         publication = self.routing.publication
         assert publication is not None
         self.callers.limit_callers(publication.limits)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 
 from typing import TYPE_CHECKING
@@ -15,10 +16,14 @@
 from medlarpass_daemon.entry.fleet.weighted_choice import WeightedChoice
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from medlarpass.publication import PublishedPool
     from medlarpass.rpc import control_pb2
+    from medlarpass.rpc import fleet_pb2
     from medlarpass.tables import Pool
     from medlarpass.tables import Route
+    from medlarpass_daemon.publication_parts import PublicationParts
 
 
 class NothingPublished:
@@ -61,14 +66,32 @@
         """Put a publication in force if it is newer, and return whether it was."""
         if message.version <= self.revision:
             return False
-        publication = Publication.from_json(message.document)
+        self._put(json.loads(message.document))
+        return True
+
+    def take(self, part: fleet_pb2.PackedPublication, parts: PublicationParts) -> bool:
+        """Take a part of a newer publication, and return whether that is in force now.
+
+        :param parts: parts that the same stream has brought
+        :raises PublicationGapError: the part does not fit the parts or the routes held here
+        """
+        if part.version <= self.revision:
+            return False
+        held = self.publication.document if self.publication is not None else None
+        document = parts.take(part, held)
+        if document is None:
+            return False
+        self._put(document)
+        return True
+
+    def _put(self, document: dict[str, Any]) -> None:
+        publication = Publication(document, self.publication)
         self.publication = publication
         self.pools = publication.pools
         self.matcher = publication.matcher
         self.choices = self._choices(publication)
         PUBLICATION_IN_FORCE.log(version=publication.version, routes=len(publication.routes))
         self.changed.set()
-        return True
 
     def _choices(self, publication: Publication) -> dict[str, WeightedChoice]:
         """Return the choices of split routes; one whose shares stay keeps its credits."""
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -15,6 +15,8 @@
 from medlarpass_daemon.entry.fleet.events import FOLLOWER_HEARD
 from medlarpass_daemon.entry.fleet.events import WATCH_LOST
 from medlarpass_daemon.entry.fleet.events import WATCH_REGAINED
+from medlarpass_daemon.exceptions import PublicationGapError
+from medlarpass_daemon.publication_parts import PublicationParts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,7 +45,7 @@
 
     :param settings: settings of the process
     :param seeds: addresses to begin with
-    :param apply: takes an update
+    :param apply: takes an update, with the parts of a publication that its stream has brought
     :param version: returns the version of the publication in force
     :param loads: loads to report
     :param times: returns answers and their seconds by server since the last call
@@ -70,7 +72,7 @@
         self,
         settings: DaemonSettings,
         seeds: Seeds,
-        apply: Callable[[fleet_pb2.FleetUpdate], None],
+        apply: Callable[[fleet_pb2.FleetUpdate, PublicationParts], None],
         version: Callable[[], int],
         loads: KeyLoads,
         times: Callable[[], dict[str, tuple[int, float]]],
@@ -108,6 +110,8 @@
                 hint, cause = "", str(error.code())
             except TimeoutError:
                 hint, cause = "", "silence"
+            except PublicationGapError as error:
+                hint, cause = "", error.code
             if hint and hint != address and hint == self.sources.first():
                 # A change of the replica is no loss; what is known stays in force meanwhile. A
                 # leader that has just been elected names itself and is asked again after a pause.
@@ -152,6 +156,7 @@
             entry=self.settings.name, domain=self.settings.domain, version=self.version()
         )
         call = stub.Watch(request)
+        parts = PublicationParts()
         wait = FIRST_ANSWER
         leave_at = asyncio.get_running_loop().time() + self.sources.stay()
         try:
@@ -163,7 +168,7 @@
                     return ""
                 if update.from_follower:
                     FOLLOWER_HEARD.log(control=address, version=update.publication.version)
-                    self.apply(update)
+                    self.apply(update, parts)
                     continue
                 if update.HasField("not_leader"):
                     return str(update.not_leader.leader_address)
@@ -171,7 +176,7 @@
                     # A deposed leader that does not know it yet.
                     return ""
                 self.updates += 1
-                self._take(address, update)
+                self._take(address, update, parts)
                 wait = SILENCE
                 has_stayed = asyncio.get_running_loop().time() >= leave_at
                 if has_stayed and self.sources.is_better_known(address):
@@ -179,7 +184,7 @@
         finally:
             call.cancel()
 
-    def _take(self, address: str, update: fleet_pb2.FleetUpdate) -> None:
+    def _take(self, address: str, update: fleet_pb2.FleetUpdate, parts: PublicationParts) -> None:
         self.term = update.term
         self.sources.take(update.controls, update.sources)
         self.entries = max(update.entries, 1)
@@ -189,7 +194,7 @@
             self.is_connected = True
             self.pause = LEAST_PAUSE
             self.sources.served()
-        self.apply(update)
+        self.apply(update, parts)
 
     def _lost(self, address: str, cause: str, seconds: float) -> None:
         self.source = ""
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/exceptions.py
@@ -27,3 +27,11 @@
     code = "unknown_result"
     http_status = 504
     outcome = Outcome.UNKNOWN
+
+
+class PublicationGapError(MedlarpassError):
+    """A part of a publication does not fit what came before; the stream has to begin anew."""
+
+    code = "publication_gap"
+    http_status = 503
+    outcome = Outcome.NOT_RUN
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
@@ -18,6 +19,8 @@
 from medlarpass_daemon.control.fleet.fleet_service import FleetService
 from medlarpass_daemon.control.fleet.relayed_ranges import RelayedRanges
 from medlarpass_daemon.control.fleet.report_relay import ReportRelay
+from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
+from medlarpass_daemon.publication_parts import PublicationParts
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -25,6 +28,9 @@
     import pytest
 
 ENTRIES = 190
+#: Bytes of an update that reaches an entry within 0.2 s on a link of 2 Mbit/s that carries as much
+#: again.
+MOST_BYTES = 25_000
 
 
 def service_of(world: Any) -> FleetService:
@@ -96,7 +102,7 @@
     other = new_world(1)
     relay = service_of(other)
     other.log.replica.is_leader = False
-    relay.feed._take(first, RelayedRanges())
+    relay.feed._take(first, RelayedRanges(), PublicationParts())
     downstream = relay.Watch(watch(), None)
     passed = await view_of(downstream)
     assert {each.identity for part in passed for each in part.servers} == set(world.servers)
@@ -113,7 +119,9 @@
     world = new_world(1)
     relay = service_of(world)
     world.log.replica.is_leader = False
-    relay.feed._take(fleet_pb2.FleetUpdate(term=1, is_whole=True), RelayedRanges())
+    relay.feed._take(
+        fleet_pb2.FleetUpdate(term=1, is_whole=True), RelayedRanges(), PublicationParts()
+    )
     stream = relay.Watch(watch(version=1), None)
     assert not (await view_of(stream))[-1].HasField("not_leader")
     world.clock.advance(SILENCE * 1.01)
@@ -152,7 +160,9 @@
     world = new_world(1)
     relay = service_of(world)
     world.log.replica.is_leader = False
-    relay.feed._take(fleet_pb2.FleetUpdate(term=1, is_whole=True), RelayedRanges())
+    relay.feed._take(
+        fleet_pb2.FleetUpdate(term=1, is_whole=True), RelayedRanges(), PublicationParts()
+    )
     (only,) = [update async for update in relay.Watch(watch("r", is_relay=True), None)]
     assert only.HasField("not_leader")
 
@@ -201,7 +211,9 @@
     world = new_world(1)
     relay = service_of(world)
     world.log.replica.is_leader = False
-    relay.feed._take(fleet_pb2.FleetUpdate(term=1, is_whole=True), RelayedRanges())
+    relay.feed._take(
+        fleet_pb2.FleetUpdate(term=1, is_whole=True), RelayedRanges(), PublicationParts()
+    )
     load = fleet_pb2.RangeLoad(pool="stock", keys=[5, 9], requests=[2, 1])
     time = fleet_pb2.ServerTime(identity="s0", answers=3, milliseconds=600)
     for _ in range(2):
@@ -231,3 +243,122 @@
     parts = await view_of(stream)
     assert [each.identity for part in parts for each in part.servers] == ["s0"]
     await stream.aclose()
+
+
+def large(version: int, count: int, timeout: float = 1.0) -> dict[str, Any]:
+    """Return the document of a publication with many routes that hardly compress.
+
+    :param timeout: time-out of the first route
+    """
+    names = random.Random(7)
+    routes = [
+        {
+            "name": f"{names.getrandbits(64):x}",
+            "host": f"{names.getrandbits(48):x}.example",
+            "prefix": f"/{names.getrandbits(64):x}/",
+            "class": "download",
+            "timeout": timeout if not number else 1.0,
+            "target": 0.4,
+            "priority": 2,
+            "attempts": 2,
+            "shares": [{"pool": "art", "weight": 1}],
+        }
+        for number in range(count)
+    ]
+    return {
+        "version": version,
+        "key_header": "Key",
+        "routes": routes,
+        "pools": [{"name": "art", "owned": False, "connections": 10}],
+        "limits": {},
+    }
+
+
+def publish(feed: FleetFeed, entry: FleetRouting, told: Told) -> list[int]:
+    """Bring an entry up to date and return the sizes of the updates."""
+    parts = PublicationParts()
+    sizes = []
+    while entry.revision < feed.publication_version:
+        update = feed.update_for(told)
+        assert update.HasField("publication")
+        assert told.has_more or entry.revision < update.publication.version
+        entry.take(update.publication, parts)
+        sizes.append(update.ByteSize())
+    assert not told.has_more
+    return sizes
+
+
+async def test_a_large_publication_comes_in_small_parts() -> None:
+    """Guards against a publication that never arrives on a thin link.
+
+    It was one message. Entries gave it up after 0.6 s and asked the next replica for it.
+    """
+    feed, entry, told = FleetFeed(), FleetRouting(), Told(0)
+    document = large(3, 3500)
+    feed.take_publication(document)
+    sizes = publish(feed, entry, told)
+    assert len(sizes) > 3
+    assert max(sizes) < MOST_BYTES
+    assert entry.publication is not None
+    assert entry.publication.document == document
+    view = FleetRouting()
+    parts = PublicationParts()
+    for part in feed.parts_for(Told(0)):
+        assert part.ByteSize() < MOST_BYTES
+        if part.HasField("publication"):
+            view.take(part.publication, parts)
+    assert view.revision == 3
+
+
+async def test_a_small_change_of_a_large_publication_is_small() -> None:
+    """Guards against thousands of routes on each entry's link behind the change of one time-out."""
+    feed, entry, told = FleetFeed(), FleetRouting(), Told(0)
+    feed.take_publication(large(3, 3500))
+    publish(feed, entry, told)
+    for version in range(4, 40):
+        feed.take_publication(large(version, 3500, timeout=float(version)))
+        assert publish(feed, entry, told) < [1000]
+    assert entry.publication is not None
+    assert entry.publication.document == large(39, 3500, timeout=39.0)
+
+
+async def test_a_publication_that_is_overtaken_on_its_way_arrives() -> None:
+    """Storm of versions: guards against a large one that begins anew with each later one."""
+    feed, entry, told = FleetFeed(), FleetRouting(), Told(0)
+    feed.take_publication(large(3, 3500))
+    parts = PublicationParts()
+    for version in range(4, 60):
+        update = feed.update_for(told)
+        entry.take(update.publication, parts)
+        feed.take_publication(large(version, 3500, timeout=float(version)))
+    assert entry.revision >= 50
+    publish(feed, entry, told)
+    assert entry.publication is not None
+    assert entry.publication.document == large(59, 3500, timeout=59.0)
+
+
+async def test_a_watcher_with_an_unknown_version_gets_all_routes() -> None:
+    """New leader: guards against a change of routes that an entry does not hold."""
+    feed, entry = FleetFeed(), FleetRouting()
+    feed.take_publication(large(9, 30))
+    publish(feed, entry, Told(0))
+    other = FleetFeed()
+    other.take_publication(large(12, 40))
+    publish(other, entry, Told(entry.revision))
+    assert entry.publication is not None
+    assert entry.publication.document == large(12, 40)
+
+
+async def test_a_relay_passes_a_changed_publication_on(new_world: Any) -> None:
+    """Guards against a relay that loses a route when it is told changes only."""
+    leader, relay = FleetFeed(), service_of(new_world(1))
+    ranges, parts, told = RelayedRanges(), PublicationParts(), Told(0)
+    entry, entry_told = FleetRouting(), Told(0)
+    feed = relay.fleet.feed
+    for version in (3, 4, 5):
+        leader.take_publication(large(version, 700 * version, timeout=float(version)))
+        while feed.publication_version < version:
+            relay.feed._take(leader.update_for(told), ranges, parts)
+        publish(feed, entry, entry_told)
+    assert entry.publication is not None
+    assert entry.publication.document == large(5, 3500, timeout=5.0)
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 
 from collections import Counter
 from typing import Any
@@ -8,8 +9,11 @@
 import pytest
 
 from medlarpass.rpc import control_pb2
+from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.entry.callers.exceptions import RoutesUnknownError
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
+from medlarpass_daemon.exceptions import PublicationGapError
+from medlarpass_daemon.publication_parts import PublicationParts
 
 
 def publication(version: int, weights: dict[str, float]) -> control_pb2.Publish:
@@ -74,3 +78,17 @@
         route = routing.matcher.find("art.example", "/art/7", "GET")
         counts[routing.pool_of(route).name] += 1
     assert counts["a"] == counts["b"] == 100
+
+
+def test_a_part_that_does_not_fit_is_refused() -> None:
+    """Guards against routes put together from two versions."""
+    routing = FleetRouting()
+    text = publication(7, {"a": 1}).document
+    whole = fleet_pb2.PackedPublication(version=7, document=zlib.compress(text), parts=1)
+    second = fleet_pb2.PackedPublication(version=7, document=b"x", part=1, parts=2)
+    change = fleet_pb2.PackedPublication(version=7, base=6, document=zlib.compress(text), parts=1)
+    for wrong in (second, change):
+        with pytest.raises(PublicationGapError):
+            routing.take(wrong, PublicationParts())
+    assert routing.take(whole, PublicationParts())
+    assert routing.revision == 7
--- a/packages/medlarpass/src/medlarpass/publication/__init__.py
+++ b/packages/medlarpass/src/medlarpass/publication/__init__.py
@@ -7,6 +7,7 @@
 from medlarpass.publication.exceptions import PublicationError
 from medlarpass.publication.prefix_matcher import PrefixMatcher
 from medlarpass.publication.publication import Publication
+from medlarpass.publication.publication_change import PublicationChange
 from medlarpass.publication.published_pool import PublishedPool
 from medlarpass.publication.published_route import PoolShare
 from medlarpass.publication.published_route import PublishedRoute
@@ -17,6 +18,7 @@
     "PoolShare",
     "PrefixMatcher",
     "Publication",
+    "PublicationChange",
     "PublicationError",
     "PublishedPool",
     "PublishedRoute",
--- a/packages/medlarpass/src/medlarpass/publication/publication.py
+++ b/packages/medlarpass/src/medlarpass/publication/publication.py
@@ -79,20 +79,19 @@
     """Routes, pools and limits under one version.
 
     :param document: document that :meth:`from_document` has checked
+    :param known: an earlier publication; routes of the same objects in its document are taken from
+        it, so that a small change of many routes costs little
     :raises InvalidPublicationError: when parts of it contradict each other
     """
 
     __slots__ = ("document", "limits", "matcher", "pools", "routes", "version")
 
-    def __init__(self, document: dict[str, Any]) -> None:
+    def __init__(self, document: dict[str, Any], known: Publication | None = None) -> None:
         self.document = document
         self.version: int = document["version"]
         self.limits = CallerLimits(document["limits"])
         self.pools = {item["name"]: PublishedPool(item["name"], item) for item in document["pools"]}
-        self.routes = [
-            PublishedRoute(item["name"], item, self.limits, document["key_header"])
-            for item in document["routes"]
-        ]
+        self.routes = self._routes(known)
         self.matcher = PrefixMatcher(self.routes)
         self._check()
 
@@ -119,6 +118,22 @@
         """Return the document as JSON text."""
         return json.dumps(self.document, separators=(",", ":")).encode()
 
+    def _routes(self, known: Publication | None) -> list[PublishedRoute]:
+        key_header = self.document["key_header"]
+        built: dict[int, PublishedRoute] = {}
+        if known is not None and known.is_alike(self):
+            pairs = zip(known.document["routes"], known.routes, strict=True)
+            built = {id(item): route for item, route in pairs}
+        return [
+            built.get(id(item)) or PublishedRoute(item["name"], item, self.limits, key_header)
+            for item in self.document["routes"]
+        ]
+
+    def is_alike(self, other: Publication) -> bool:
+        """Return whether the same document of a route means the same in both publications."""
+        names = ("key_header", "limits")
+        return all(self.document[name] == other.document[name] for name in names)
+
     def _check(self) -> None:
         if len(self.pools) != len(self.document["pools"]):
             raise InvalidPublicationError("pools: expected each name once")
