Let an entry deny only what its routes are new enough to deny

Cause: an entry took the routes that it had for the newest, however long it had not heard of another version; a stream that delivers late, a silent one and a start behind a follower all looked alike. Callers take 404 for final.

Change: the answer to each report names the newest publication and how old that statement is: the leader says it while no other replica can lead, a relay adds the time since it asked the leader, an entry the time on the way. Without a statement younger than nine tenths of fleet.apply_within an unknown route is refused with 503, as not run. An entry that knows of a newer version and does not get it in three quarters of that time refuses everything, since any route may have moved; a cut-off entry knows of none and goes on serving. Answers to reports are small, so they pass where a large publication is slow.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_keeper.py
@@ -12,9 +12,11 @@
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
 from medlarpass_daemon.control.fleet import events
+from medlarpass_daemon.control.fleet.newest_publication import NewestPublication
 from medlarpass_daemon.control.fleet.relayed_ranges import RelayedRanges
 from medlarpass_daemon.exceptions import PublicationGapError
 from medlarpass_daemon.publication_parts import PublicationParts
+from medlarpass_daemon.waiting import wait_until_set
 
 if TYPE_CHECKING:
     from medlarpass import Clock
@@ -55,6 +57,7 @@
         "heard_at",
         "is_relaying",
         "log",
+        "newest",
         "own",
         "settings",
     )
@@ -77,6 +80,7 @@
         self.heard_at = -math.inf
         #: Whether this replica has passed on what a leader said since it last lost one.
         self.is_relaying = False
+        self.newest = NewestPublication(fleet, clock)
         #: How the last stream from a leader ended.
         self.failure = ""
 
@@ -118,7 +122,7 @@
             changed = self.fleet.changed
             self.refresh()
             await asyncio.sleep(LEAST_INTERVAL)
-            await wait(changed, REFRESH)
+            await wait_until_set(changed, REFRESH)
 
     def refresh(self) -> None:
         """Take the state of this replica, which leads."""
@@ -178,12 +182,3 @@
         if ranges.take(update):
             feed.take_ranges(ranges.all())
         self.heard_at = self.clock.now()
-
-
-async def wait(changed: asyncio.Event, timeout: float) -> None:
-    """Return once an event is set, or after ``timeout`` seconds."""
-    try:
-        async with asyncio.timeout(timeout):
-            await changed.wait()
-    except TimeoutError:
-        return
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -13,9 +13,9 @@
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
 from medlarpass_daemon.control.fleet import events
-from medlarpass_daemon.control.fleet.feed_keeper import wait
 from medlarpass_daemon.control.fleet.fleet_feed import Told
 from medlarpass_daemon.control.fleet.fleet_feed import whole_view
+from medlarpass_daemon.waiting import wait_until_set
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -92,7 +92,7 @@
                 if told.has_more:
                     continue
                 await asyncio.sleep(least)
-                await wait(changed, keepalive)
+                await wait_until_set(changed, keepalive)
             yield fleet_pb2.FleetUpdate(not_leader=self._not_leader())
         finally:
             self.fleet.watchers.closed(request)
@@ -105,19 +105,19 @@
     async def Report(
         self, request: fleet_pb2.EntryReport, context: Any
     ) -> fleet_pb2.EntryReportResponse:
-        """Take the loads that an entry has seen."""
+        """Take the loads that an entry has seen, and tell it the newest publication."""
         if not self.log.replica.is_leader:
             if not self.feed.is_current:
                 return fleet_pb2.EntryReportResponse(not_leader=self._not_leader())
             self.reports.take(request)
-            return fleet_pb2.EntryReportResponse()
+            return self.feed.newest.tell()
         self.fleet.watchers.reported(request)
         for load in request.loads:
             self.fleet.loads_of(load.pool).add(load.keys, load.requests)
         for time in request.times:
             self.fleet.speeds.add(time.identity, time.answers, time.milliseconds / 1000)
             self.fleet.weights.add(time.identity, time.answers, time.milliseconds / 1000)
-        return fleet_pb2.EntryReportResponse()
+        return self.feed.newest.tell()
 
     async def Join(self, request: fleet_pb2.JoinRequest, context: Any) -> fleet_pb2.JoinResponse:
         """Make a replica a member."""
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -23,6 +23,7 @@
     from medlarpass import Clock
     from medlarpass.control import ControlState
     from medlarpass.ranges import RangeAssignment
+    from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
 
 HELD = fleet_pb2.RANGE_PHASE_HELD
 MOVING = fleet_pb2.RANGE_PHASE_MOVING
@@ -44,6 +45,7 @@
         "has_new_ranges",
         "has_new_servers",
         "known_ranges",
+        "lease",
         "led_term",
         "loads",
         "moving",
@@ -71,6 +73,8 @@
         self.watchers = Watchers()
         #: Term in which this replica keeps the ranges; 0 while it does not lead.
         self.led_term = 0
+        #: Time for which this replica surely is the only leader, once it keeps the ranges.
+        self.lease: LeaderLease | None = None
         self.feed = FleetFeed()
         self.has_new_ranges = True
         self.has_new_servers = True
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -86,6 +86,7 @@
         self.settings = settings
         self.clock = clock
         self.lease = LeaderLease(log.replica, lease, clock)
+        fleet.lease = self.lease
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
         self.led_since = 0.0
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
@@ -17,7 +17,8 @@
     from medlarpass_daemon.control.fleet.feed_keeper import FeedKeeper
     from medlarpass_daemon.rpc_channels import RpcChannels
 
-#: Seconds between two reports; they delay the spread of hot keys.
+#: Seconds between two reports; they delay the spread of hot keys, and their answers say how new the
+#: publication of this relay's entries is.
 PERIOD = 0.2
 TIMEOUT = 1.0
 
@@ -55,8 +56,9 @@
             if self.feed.leads or not self.feed.is_current or not leader:
                 continue
             stub = fleet_pb2_grpc.FleetStub(self.channels.to(leader))
+            asked_at = self.feed.clock.now()
             try:
-                await stub.Report(report, timeout=TIMEOUT)
+                self.feed.newest.heard(await stub.Report(report, timeout=TIMEOUT), asked_at)
             except grpc.aio.AioRpcError as error:
                 # The counts of one period only delay the balance.
                 events.REPORT_LOST.log(control=leader, error=str(error.code()))
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -63,7 +63,7 @@
 
 
 class RoutesUnknownError(CallerError):
-    """This entry has not learned any routes yet."""
+    """This entry has no routes yet, or can't be sure that they are the newest."""
 
     code = "routes_unknown"
     http_status = 503
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -14,6 +14,7 @@
 from medlarpass_daemon.entry.fleet.fleet_watcher import FleetWatcher
 from medlarpass_daemon.entry.fleet.no_claims import NoClaims
 from medlarpass_daemon.entry.fleet.no_peers import NoPeers
+from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
 from medlarpass_daemon.supervision import supervise
 
 if TYPE_CHECKING:
@@ -73,7 +74,8 @@
         self.readiness = readiness
         self.metrics = metrics
         loads = KeyLoads()
-        self.routing = FleetRouting()
+        age = PublicationAge(clock, settings.fleet.apply_within)
+        self.routing = FleetRouting(age)
         self.servers = FleetServers(self.routing, loads, clock)
         self.callers = CallersServer(
             settings,
@@ -92,6 +94,7 @@
             seeds,
             self._apply,
             lambda: self.routing.revision,
+            age,
             loads,
             self.callers.path.places.take_times,
             channels,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
@@ -11,6 +11,7 @@
 from medlarpass.publication import PrefixMatcher
 from medlarpass.publication import Publication
 from medlarpass.publication import PublishedRoute
+from medlarpass.tables import RouteNotFoundError
 from medlarpass_daemon.entry.callers.exceptions import RoutesUnknownError
 from medlarpass_daemon.entry.fleet.events import PUBLICATION_IN_FORCE
 from medlarpass_daemon.entry.fleet.weighted_choice import WeightedChoice
@@ -23,6 +24,7 @@
     from medlarpass.rpc import fleet_pb2
     from medlarpass.tables import Pool
     from medlarpass.tables import Route
+    from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
     from medlarpass_daemon.publication_parts import PublicationParts
 
 
@@ -39,14 +41,48 @@
         raise RoutesUnknownError("this entry knows no routes yet")
 
 
+class AgedRoutes:
+    """Matcher that says no more than the age of the routes allows.
+
+    :param routes: routes in force
+    :param age: how old they may be
+    """
+
+    __slots__ = ("age", "routes")
+
+    def __init__(self, routes: PrefixMatcher, age: PublicationAge) -> None:
+        self.routes = routes
+        self.age = age
+
+    def find(self, host: str, path: str, method: str) -> PublishedRoute:
+        """Find the route of a request.
+
+        :raises RouteNotFoundError: when no route matches
+        :raises RoutesUnknownError: when a newer publication may say something else
+        """
+        if self.age.is_overdue:
+            raise RoutesUnknownError("a newer publication is in force and has not arrived here")
+        try:
+            return self.routes.find(host, path, method)
+        except RouteNotFoundError as error:
+            if self.age.is_certain:
+                raise
+            # Callers take 404 for final.
+            raise RoutesUnknownError("a newer publication may have the route") from error
+
+
 class FleetRouting:
-    """Newest publication this entry has seen; an older one never replaces it."""
+    """Newest publication this entry has seen; an older one never replaces it.
+
+    :param age: how old it may be
+    """
 
-    __slots__ = ("changed", "choices", "matcher", "pools", "publication")
+    __slots__ = ("age", "changed", "choices", "matcher", "pools", "publication")
 
-    def __init__(self) -> None:
+    def __init__(self, age: PublicationAge) -> None:
+        self.age = age
         self.publication: Publication | None = None
-        self.matcher: PrefixMatcher | NothingPublished = NothingPublished()
+        self.matcher: AgedRoutes | NothingPublished = NothingPublished()
         self.pools: dict[str, PublishedPool] = {}
         self.choices: dict[str, WeightedChoice] = {}
         #: Set when a publication is in force.
@@ -88,7 +124,8 @@
         publication = Publication(document, self.publication)
         self.publication = publication
         self.pools = publication.pools
-        self.matcher = publication.matcher
+        self.matcher = AgedRoutes(publication.matcher, self.age)
+        self.age.put_in_force(publication.version)
         self.choices = self._choices(publication)
         PUBLICATION_IN_FORCE.log(version=publication.version, routes=len(publication.routes))
         self.changed.set()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -13,15 +13,18 @@
 from medlarpass.rpc import fleet_pb2_grpc
 from medlarpass_daemon.entry.fleet.control_sources import ControlSources
 from medlarpass_daemon.entry.fleet.events import FOLLOWER_HEARD
+from medlarpass_daemon.entry.fleet.events import PUBLICATION_OVERDUE
 from medlarpass_daemon.entry.fleet.events import WATCH_LOST
 from medlarpass_daemon.entry.fleet.events import WATCH_REGAINED
 from medlarpass_daemon.exceptions import PublicationGapError
 from medlarpass_daemon.publication_parts import PublicationParts
+from medlarpass_daemon.waiting import wait_until_set
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from medlarpass.ranges import KeyLoads
+    from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
     from medlarpass_daemon.rpc_channels import RpcChannels
     from medlarpass_daemon.seeds import Seeds
     from medlarpass_daemon.settings import DaemonSettings
@@ -47,18 +50,21 @@
     :param seeds: addresses to begin with
     :param apply: takes an update, with the parts of a publication that its stream has brought
     :param version: returns the version of the publication in force
+    :param age: learns how old that may be
     :param loads: loads to report
     :param times: returns answers and their seconds by server since the last call
     :param channels: gRPC channels
     """
 
     __slots__ = (
+        "age",
         "apply",
         "channels",
         "entries",
         "is_connected",
         "loads",
         "pause",
+        "prompt",
         "settings",
         "source",
         "sources",
@@ -74,6 +80,7 @@
         seeds: Seeds,
         apply: Callable[[fleet_pb2.FleetUpdate, PublicationParts], None],
         version: Callable[[], int],
+        age: PublicationAge,
         loads: KeyLoads,
         times: Callable[[], dict[str, tuple[int, float]]],
         channels: RpcChannels,
@@ -82,6 +89,7 @@
         self.sources = ControlSources(settings, seeds)
         self.apply = apply
         self.version = version
+        self.age = age
         self.loads = loads
         self.times = times
         self.channels = channels
@@ -93,6 +101,8 @@
         self.entries = 1
         self.is_connected = True
         self.pause = LEAST_PAUSE
+        #: Set when a report is due before its period ends.
+        self.prompt = asyncio.Event()
         #: Updates that the present stream has brought.
         self.updates = 0
 
@@ -124,9 +134,10 @@
                 self.pause = min(self.pause * 1.5, MOST_PAUSE)
 
     async def report(self) -> None:
-        """Report loads until cancelled."""
+        """Report loads, and ask for the newest publication, until cancelled."""
         while True:
-            await asyncio.sleep(REPORT_PERIOD)
+            await wait_until_set(self.prompt, REPORT_PERIOD)
+            self.prompt.clear()
             if not self.source:
                 continue
             request = fleet_pb2.EntryReport(
@@ -140,11 +151,25 @@
                 ],
             )
             stub = fleet_pb2_grpc.FleetStub(self.channels.to(self.source))
+            asked_at = self.age.clock.now()
             try:
-                await stub.Report(request, timeout=REPORT_TIMEOUT)
+                response = await stub.Report(request, timeout=REPORT_TIMEOUT)
             except grpc.aio.AioRpcError:
                 # The counts of one period only delay the balance; the watch logs a lost replica.
                 continue
+            known_at = asked_at - response.age_ms / 1000
+            self.age.heard(response.publication_version, known_at, self.version())
+            self._log_overdue()
+
+    def _log_overdue(self) -> None:
+        if not self.age.is_overdue:
+            return
+        awaited = self.age.awaited[0]
+        PUBLICATION_OVERDUE.log(
+            version=awaited.version,
+            in_force=self.version(),
+            seconds=round(self.age.clock.now() - awaited.heard_at, 3),
+        )
 
     async def _follow(self, address: str) -> str:
         """Take updates of a replica until it fails, or another one is to be followed.
@@ -194,6 +219,8 @@
             self.is_connected = True
             self.pause = LEAST_PAUSE
             self.sources.served()
+            # The answer says whether the routes held here are still the newest.
+            self.prompt.set()
         self.apply(update, parts)
 
     def _lost(self, address: str, cause: str, seconds: float) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
@@ -23,6 +23,7 @@
 
     __slots__ = (
         "adapter",
+        "apply_within",
         "first_start",
         "heartbeat",
         "hold",
@@ -35,6 +36,8 @@
     def __init__(self, document: dict[str, Any]) -> None:
         #: Python module with the adapter of the platform.
         self.adapter: str = document["adapter"]
+        #: Time after the confirmation of a publication within which entries follow it.
+        self.apply_within: float = document["apply_within"]
         #: Addresses of control's listener on some VMs.
         self.seeds: list[str] = document["seeds"]
         #: Whether the whole system starts for the first time, with empty disks.
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from medlarpass import ManualClock
 from medlarpass.ranges import RangeAssignment
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import fleet_pb2
@@ -20,6 +21,7 @@
 from medlarpass_daemon.control.fleet.relayed_ranges import RelayedRanges
 from medlarpass_daemon.control.fleet.report_relay import ReportRelay
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
+from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
 from medlarpass_daemon.publication_parts import PublicationParts
 
 if TYPE_CHECKING:
@@ -33,6 +35,11 @@
 MOST_BYTES = 25_000
 
 
+def routing_of() -> FleetRouting:
+    """Return the routing of an entry that knows nothing yet."""
+    return FleetRouting(PublicationAge(ManualClock(), 2.0))
+
+
 def service_of(world: Any) -> FleetService:
     """Return the service of the world's replica."""
     world.log.replica.membership = SimpleNamespace(members=[])
@@ -293,7 +300,7 @@
 
     It was one message. Entries gave it up after 0.6 s and asked the next replica for it.
     """
-    feed, entry, told = FleetFeed(), FleetRouting(), Told(0)
+    feed, entry, told = FleetFeed(), routing_of(), Told(0)
     document = large(3, 3500)
     feed.take_publication(document)
     sizes = publish(feed, entry, told)
@@ -301,7 +308,7 @@
     assert max(sizes) < MOST_BYTES
     assert entry.publication is not None
     assert entry.publication.document == document
-    view = FleetRouting()
+    view = routing_of()
     parts = PublicationParts()
     for part in feed.parts_for(Told(0)):
         assert part.ByteSize() < MOST_BYTES
@@ -312,7 +319,7 @@
 
 async def test_a_small_change_of_a_large_publication_is_small() -> None:
     """Guards against thousands of routes on each entry's link behind the change of one time-out."""
-    feed, entry, told = FleetFeed(), FleetRouting(), Told(0)
+    feed, entry, told = FleetFeed(), routing_of(), Told(0)
     feed.take_publication(large(3, 3500))
     publish(feed, entry, told)
     for version in range(4, 40):
@@ -324,7 +331,7 @@
 
 async def test_a_publication_that_is_overtaken_on_its_way_arrives() -> None:
     """Storm of versions: guards against a large one that begins anew with each later one."""
-    feed, entry, told = FleetFeed(), FleetRouting(), Told(0)
+    feed, entry, told = FleetFeed(), routing_of(), Told(0)
     feed.take_publication(large(3, 3500))
     parts = PublicationParts()
     for version in range(4, 60):
@@ -339,7 +346,7 @@
 
 async def test_a_watcher_with_an_unknown_version_gets_all_routes() -> None:
     """New leader: guards against a change of routes that an entry does not hold."""
-    feed, entry = FleetFeed(), FleetRouting()
+    feed, entry = FleetFeed(), routing_of()
     feed.take_publication(large(9, 30))
     publish(feed, entry, Told(0))
     other = FleetFeed()
@@ -353,7 +360,7 @@
     """Guards against a relay that loses a route when it is told changes only."""
     leader, relay = FleetFeed(), service_of(new_world(1))
     ranges, parts, told = RelayedRanges(), PublicationParts(), Told(0)
-    entry, entry_told = FleetRouting(), Told(0)
+    entry, entry_told = routing_of(), Told(0)
     feed = relay.fleet.feed
     for version in (3, 4, 5):
         leader.take_publication(large(version, 700 * version, timeout=float(version)))
@@ -362,3 +369,34 @@
         publish(feed, entry, entry_told)
     assert entry.publication is not None
     assert entry.publication.document == large(5, 3500, timeout=5.0)
+
+
+async def test_only_a_leader_that_is_sure_names_the_newest_publication(new_world: Any) -> None:
+    """Guards against a deposed leader that vouches for a version that is not the newest."""
+    world = new_world(1)
+    service = service_of(world)
+    report = fleet_pb2.EntryReport(entry="e")
+    answer = await service.Report(report, None)
+    assert (answer.publication_version, answer.age_ms) == (1, 0)
+    world.keeper.lease.until = 0.0
+    assert not (await service.Report(report, None)).publication_version
+
+
+async def test_a_relay_is_as_sure_as_when_it_asked_the_leader(new_world: Any) -> None:
+    """Guards against a relay whose answers hide how long it has not heard the leader."""
+    world = new_world(1)
+    relay = service_of(world)
+    world.log.replica.is_leader = False
+    relay.feed._take(
+        fleet_pb2.FleetUpdate(term=1, is_whole=True), RelayedRanges(), PublicationParts()
+    )
+    report = fleet_pb2.EntryReport(entry="e")
+    assert not (await relay.Report(report, None)).publication_version
+    asked_at = world.clock.now()
+    world.clock.advance(0.1)
+    told = fleet_pb2.EntryReportResponse(publication_version=7, age_ms=50)
+    relay.feed.newest.heard(told, asked_at)
+    world.clock.advance(0.1)
+    answer = await relay.Report(report, None)
+    assert answer.publication_version == 7
+    assert 250 <= answer.age_ms <= 252
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
@@ -8,14 +8,21 @@
 
 import pytest
 
+from medlarpass import ManualClock
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.entry.callers.exceptions import RoutesUnknownError
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
+from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
 from medlarpass_daemon.exceptions import PublicationGapError
 from medlarpass_daemon.publication_parts import PublicationParts
 
 
+def routing_of() -> FleetRouting:
+    """Return the routing of an entry that knows nothing yet."""
+    return FleetRouting(PublicationAge(ManualClock(), 2.0))
+
+
 def publication(version: int, weights: dict[str, float]) -> control_pb2.Publish:
     """Return a publication with one route."""
     document: dict[str, Any] = {
@@ -43,12 +50,12 @@
 def test_an_entry_without_routes_does_not_deny_them() -> None:
     """Guards against 404 from an entry that has just started."""
     with pytest.raises(RoutesUnknownError):
-        FleetRouting().matcher.find("art.example", "/art/7", "GET")
+        routing_of().matcher.find("art.example", "/art/7", "GET")
 
 
 def test_an_older_version_never_returns() -> None:
     """Guards against an entry that goes back when it hears a replica that is behind."""
-    routing = FleetRouting()
+    routing = routing_of()
     assert routing.offer(publication(7, {"new": 1}))
     assert not routing.offer(publication(6, {"old": 1}))
     assert routing.revision == 7
@@ -60,7 +67,7 @@
 )
 def test_each_pool_gets_its_share(weights: dict[str, float]) -> None:
     """Guards against shares that are off by chance over a few hundred requests."""
-    routing = FleetRouting()
+    routing = routing_of()
     routing.offer(publication(1, weights))
     route = routing.matcher.find("art.example", "/art/7", "GET")
     counts = Counter(routing.pool_of(route).name for _ in range(200))
@@ -71,7 +78,7 @@
 
 def test_shares_that_stay_keep_their_place() -> None:
     """Guards against many small changes of the configuration that favour the first pool."""
-    routing = FleetRouting()
+    routing = routing_of()
     counts: Counter[str] = Counter()
     for version in range(1, 201):
         routing.offer(publication(version, {"a": 50, "b": 50}))
@@ -82,7 +89,7 @@
 
 def test_a_part_that_does_not_fit_is_refused() -> None:
     """Guards against routes put together from two versions."""
-    routing = FleetRouting()
+    routing = routing_of()
     text = publication(7, {"a": 1}).document
     whole = fleet_pb2.PackedPublication(version=7, document=zlib.compress(text), parts=1)
     second = fleet_pb2.PackedPublication(version=7, document=b"x", part=1, parts=2)
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_servers.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_servers.py
@@ -14,6 +14,7 @@
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
 from medlarpass_daemon.entry.fleet.fleet_servers import LEAVING_GRACE
 from medlarpass_daemon.entry.fleet.fleet_servers import FleetServers
+from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
 
 POOL = PublishedPool("stock", {"owned": True, "connections": 100})
 READY = fleet_pb2.SERVER_PHASE_READY
@@ -22,6 +23,11 @@
 MOVING = fleet_pb2.RANGE_PHASE_MOVING
 
 
+def routing_of() -> FleetRouting:
+    """Return the routing of an entry that knows nothing yet."""
+    return FleetRouting(PublicationAge(ManualClock(), 2.0))
+
+
 def server(
     identity: str, life: int = 1, phase: fleet_pb2.ServerPhase = READY
 ) -> fleet_pb2.FleetServer:
@@ -52,7 +58,7 @@
 @pytest.fixture
 def known() -> FleetServers:
     """Return an entry's knowledge of two servers that share the keys."""
-    made = FleetServers(FleetRouting(), KeyLoads(), ManualClock())
+    made = FleetServers(routing_of(), KeyLoads(), ManualClock())
     ranges = [held(0, 99, "a", 1), held(100, 65_535, "b", 2)]
     made.apply(update(server("a"), server("b"), ranges=ranges))
     return made
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
@@ -28,7 +28,7 @@
     settings: Any = SimpleNamespace(name="e", domain="north")
     seeds: Any = SimpleNamespace(addresses=[LEADER])
     nothing: Any = None
-    watcher = FleetWatcher(settings, seeds, nothing, lambda: 0, KeyLoads(), dict, nothing)
+    watcher = FleetWatcher(settings, seeds, nothing, lambda: 0, nothing, KeyLoads(), dict, nothing)
     source = fleet_pb2.FleetSource(address=LEADER, domain="north")
     watcher.sources.take([LEADER], [source])
     asked: list[str] = []
