Confirm publications and leaves once the entries that report follow them

Cause: a publication was confirmed once the log had it, whoever had heard of it, and a leave likewise. The two seconds that entries have after a confirmation were all there was for the leader's loop, the relay, the stream and the entry's loop together.

Change: the leader numbers the states that its feed takes (marks), relays pass the number on with the last message that belongs to it, and entries report how far they follow, at once after a publication or a leave; a relay reports the oldest of its entries. A repeated leave or publication waits for its own mark.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_keeper.py
@@ -166,7 +166,7 @@
         self, update: fleet_pb2.FleetUpdate, ranges: RelayedRanges, parts: PublicationParts
     ) -> None:
         feed = self.fleet.feed
-        feed.take_head(update.term, update.entries)
+        feed.take_head(update.term, update.entries, update.mark)
         if update.sources:
             feed.take_sources(list(update.controls), list(update.sources))
         if update.HasField("publication"):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_feed.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_feed.py
@@ -67,6 +67,7 @@
         "changed",
         "controls",
         "entries",
+        "mark",
         "parts",
         "publications",
         "ranges",
@@ -89,6 +90,8 @@
         self.sources_version = 0
         #: Term of the leader.
         self.term = 0
+        #: State of the leader in its term that this feed contains; 0 while that is not known.
+        self.mark = 0
         #: Entries that follow the leader, through relays or directly.
         self.entries = 0
         #: Updates that were built for watchers at the present versions.
@@ -127,10 +130,16 @@
             self.sources_version += 1
             self.touch()
 
-    def take_head(self, term: int, entries: int) -> None:
-        """Take what every update says; it alone wakes nobody."""
-        if (term, entries) != (self.term, self.entries):
-            self.term, self.entries = term, entries
+    def take_head(self, term: int, entries: int, mark: int) -> None:
+        """Take what every update says; it alone wakes nobody.
+
+        :param mark: state of the leader that the feed contains now; 0 while that is not known
+        """
+        if term != self.term:
+            self.mark = 0
+        head = (term, entries, mark or self.mark)
+        if head != (self.term, self.entries, self.mark):
+            self.term, self.entries, self.mark = head
             self._forget_updates()
 
     def touch(self) -> None:
@@ -168,6 +177,7 @@
                 self.servers.present.values(),
                 self.ranges.present.values(),
             )
+            parts[-1].mark = self.mark
         told.publication = max(told.publication, self.publication_version)
         self._count_as_told(told)
         return parts
@@ -180,6 +190,12 @@
         told.servers, told.ranges = self.servers.version, self.ranges.version
         told.sources = self.sources_version
 
+    def _is_last(self, told: Told) -> bool:
+        """Return whether a watcher needs no further update to know all that is known here."""
+        if not told.transfer:
+            return told.publication >= self.publication_version
+        return len(told.transfer) == 1 and told.transfer[0].version == self.publication_version
+
     def _head(self, told: Told) -> fleet_pb2.FleetUpdate:
         update = fleet_pb2.FleetUpdate(term=self.term, entries=self.entries)
         if told.sources != self.sources_version:
@@ -191,6 +207,8 @@
         update = self._head(told)
         if told.transfer:
             update.publication.CopyFrom(told.transfer[0])
+        if self._is_last(told):
+            update.mark = self.mark
         servers = None if told.servers is None else self.servers.changed_since(told.servers)
         if servers is None:
             update.is_whole = True
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -16,6 +16,7 @@
 from medlarpass_daemon.control.fleet.exceptions import NotPublishedError
 from medlarpass_daemon.control.fleet.exceptions import TooFewReplicasError
 from medlarpass_daemon.exceptions import ControlUnavailableError
+from medlarpass_daemon.waiting import wait_until_set
 
 if TYPE_CHECKING:
     from typing import Any
@@ -27,6 +28,14 @@
 
 #: Seconds that a new leader leaves the other replicas to join before it takes changes anyway.
 JOIN_TIME = 5.0
+#: Seconds for which a confirmation waits for entries at most. Operators and servers take a replica
+#: for silent after a second, and a publication takes some of it to be checked and written.
+PUBLICATION_WAIT = 0.5
+LEAVE_WAIT = 0.4
+#: Leaves whose place in the feed is known; a server repeats its leave for a few seconds.
+MOST_LEAVES = 1000
+#: Names of watchers in one log line.
+MOST_NAMES = 8
 
 
 class FleetOperations:
@@ -37,7 +46,7 @@
     :param control: settings of the role
     """
 
-    __slots__ = ("control", "fleet", "log", "recording", "tasks")
+    __slots__ = ("control", "fleet", "leaves", "log", "recording", "tasks")
 
     def __init__(self, log: ReplicaLog, fleet: FleetState, control: ControlSettings) -> None:
         self.log = log
@@ -46,6 +55,8 @@
         #: Identities and lives that are on their way to the log.
         self.recording: set[tuple[str, int]] = set()
         self.tasks: set[asyncio.Task[None]] = set()
+        #: Term and mark of the latest leaves, by identity and life.
+        self.leaves: dict[tuple[str, int], tuple[int, int]] = {}
 
     async def notice(self, notice: ServerNotice) -> None:
         """Take a heartbeat; a return confirms it.
@@ -85,6 +96,7 @@
             events.SERVER_RETIRED.log(server=identity, life=life)
         if self.fleet.directory.retire(identity, life):
             self.fleet.servers_changed()
+        await self._wait_until_followed(self._leave_position(identity, life), LEAVE_WAIT)
 
     async def publish(self, document: dict[str, Any], source: bytes) -> int:
         """Put routes and pools in force if their version is higher.
@@ -106,6 +118,7 @@
         in_force = self.fleet.state.publication.version
         if publication.version <= in_force:
             events.PUBLICATION_UNCHANGED.log(version=publication.version, in_force=in_force)
+            await self._wait_until_followed(self.fleet.publication_position(), PUBLICATION_WAIT)
             return in_force
         self._check_replicas()
         body = control_pb2.Publish(
@@ -117,6 +130,7 @@
             changed=result.publish.changed,
             routes=len(publication.routes),
         )
+        await self._wait_until_followed(self.fleet.publication_position(), PUBLICATION_WAIT)
         return result.publish.version
 
     async def read(self) -> bytes:
@@ -136,6 +150,41 @@
             raise NotPublishedError("nothing was published yet")
         return stored.source
 
+    def _leave_position(self, identity: str, life: int) -> tuple[int, int]:
+        """Return the term and mark under which entries hear that a server leaves.
+
+        A server repeats its leave with each heartbeat, and only the first one has to wait.
+        """
+        position = self.leaves.get((identity, life))
+        if position is None or position[0] != self.fleet.led_term:
+            position = self.leaves[identity, life] = self.fleet.next_position()
+        while len(self.leaves) > MOST_LEAVES:
+            del self.leaves[next(iter(self.leaves))]
+        return position
+
+    async def _wait_until_followed(self, position: tuple[int, int], most: float) -> None:
+        """Return once all entries that are reached follow a state of this leader.
+
+        Those that do not within the bound have the time that the platform gives entries after a
+        confirmation, and know from the answers to their reports that they miss something.
+
+        :param position: term and mark of the state
+        :param most: seconds after which the confirmation is given all the same
+        """
+        watchers = self.fleet.watchers
+        began_at = self.fleet.clock.now()
+        while behind := watchers.behind(position):
+            rest = began_at + most - self.fleet.clock.now()
+            if rest <= 0:
+                events.CONFIRMED_EARLY.log(
+                    term=position[0],
+                    mark=position[1],
+                    behind=behind[:MOST_NAMES],
+                    count=len(behind),
+                )
+                return
+            await wait_until_set(watchers.reported, rest)
+
     def _check_leading(self) -> None:
         if not self.log.replica.is_leader:
             raise NotLeadingError(self.log.leader_address())
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -109,9 +109,10 @@
         if not self.log.replica.is_leader:
             if not self.feed.is_current:
                 return fleet_pb2.EntryReportResponse(not_leader=self._not_leader())
+            self.fleet.watchers.take(request)
             self.reports.take(request)
             return self.feed.newest.tell()
-        self.fleet.watchers.reported(request)
+        self.fleet.watchers.take(request)
         for load in request.loads:
             self.fleet.loads_of(load.pool).add(load.keys, load.requests)
         for time in request.times:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -51,6 +51,7 @@
         "moving",
         "packed",
         "parsed",
+        "published_mark",
         "speeds",
         "state",
         "watchers",
@@ -70,9 +71,11 @@
         #: Keys by pool that are on their way between servers.
         self.moving: dict[str, set[tuple[int, int]]] = {}
         #: Entries and relays that watch this replica.
-        self.watchers = Watchers()
+        self.watchers = Watchers(clock)
         #: Term in which this replica keeps the ranges; 0 while it does not lead.
         self.led_term = 0
+        #: Mark of the feed with which this replica told its newest publication as the leader.
+        self.published_mark = 0
         #: Time for which this replica surely is the only leader, once it keeps the ranges.
         self.lease: LeaderLease | None = None
         self.feed = FleetFeed()
@@ -97,6 +100,7 @@
         self.speeds = ServerSpeeds()
         self.weights = ServerWeights()
         self.led_term = term
+        self.published_mark = self.feed.mark + 1
         for record in self.state.servers.all():
             self.directory.observe(ServerNotice.from_record(record))
         self.servers_changed()
@@ -105,6 +109,16 @@
         """End a leadership."""
         self.led_term = 0
 
+    def next_position(self) -> tuple[int, int]:
+        """Return the term and mark under which the feed tells what has changed by now."""
+        return self.led_term, self.feed.mark + 1
+
+    def publication_position(self) -> tuple[int, int]:
+        """Return the term and mark under which the feed tells the publication in force."""
+        if self.feed.publication_version < self.state.publication.version:
+            return self.next_position()
+        return self.led_term, self.published_mark
+
     def notify(self) -> None:
         """Wake everybody who waits for a change."""
         self.changed.set()
@@ -126,9 +140,11 @@
         :param controls: addresses of all control replicas
         :param own: where this replica is
         """
+        mark = self.feed.mark + 1
         publication = self.publication
         if publication is not None and publication.version > self.feed.publication_version:
             self.feed.take_publication(publication.document)
+            self.published_mark = mark
         if self.has_new_servers:
             self.has_new_servers = False
             told = self.weights.told
@@ -140,7 +156,7 @@
             self.has_new_ranges = False
             self.feed.take_ranges(self.ranges())
         self.feed.take_sources(controls, [own, *self.watchers.sources()])
-        self.feed.take_head(self.led_term, self.watchers.entries)
+        self.feed.take_head(self.led_term, self.watchers.entries, mark)
 
     def packed_publication(self) -> list[fleet_pb2.PackedPublication]:
         """Return the parts of the publication that the log says, packed once for all entries."""
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
@@ -12,6 +12,7 @@
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
 from medlarpass_daemon.control.fleet import events
+from medlarpass_daemon.waiting import wait_until_set
 
 if TYPE_CHECKING:
     from medlarpass_daemon.control.fleet.feed_keeper import FeedKeeper
@@ -20,6 +21,8 @@
 #: Seconds between two reports; they delay the spread of hot keys, and their answers say how new the
 #: publication of this relay's entries is.
 PERIOD = 0.2
+#: Seconds between two reports at least; those of entries that a change has reached come together.
+LEAST_PERIOD = 0.05
 TIMEOUT = 1.0
 
 
@@ -30,7 +33,7 @@
     :param channels: gRPC channels
     """
 
-    __slots__ = ("channels", "feed", "loads", "times")
+    __slots__ = ("channels", "feed", "loads", "prompt", "times")
 
     def __init__(self, feed: FeedKeeper, channels: RpcChannels) -> None:
         self.feed = feed
@@ -38,6 +41,8 @@
         self.loads = KeyLoads()
         #: Answers and the sum of their milliseconds by server.
         self.times: dict[str, tuple[int, int]] = {}
+        #: Set when the confirmation of a change may wait for the next report.
+        self.prompt = asyncio.Event()
 
     def take(self, report: fleet_pb2.EntryReport) -> None:
         """Add the report of an entry."""
@@ -46,11 +51,15 @@
         for time in report.times:
             answers, total = self.times.get(time.identity, (0, 0))
             self.times[time.identity] = (answers + time.answers, total + time.milliseconds)
+        if report.is_prompt:
+            self.prompt.set()
 
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
-            await asyncio.sleep(PERIOD)
+            await asyncio.sleep(LEAST_PERIOD)
+            await wait_until_set(self.prompt, PERIOD - LEAST_PERIOD)
+            self.prompt.clear()
             report = self._report()
             leader = self.feed.log.leader_address()
             if self.feed.leads or not self.feed.is_current or not leader:
@@ -65,9 +74,13 @@
 
     def _report(self) -> fleet_pb2.EntryReport:
         times, self.times = self.times, {}
+        watchers = self.feed.fleet.watchers
+        term, mark = watchers.oldest((self.feed.fleet.feed.term, self.feed.fleet.feed.mark))
         return fleet_pb2.EntryReport(
             entry=self.feed.own.address,
-            entries=self.feed.fleet.watchers.direct,
+            entries=watchers.direct,
+            term=term,
+            mark=mark,
             loads=self.loads.take(),
             times=[
                 fleet_pb2.ServerTime(identity=identity, answers=answers, milliseconds=total)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -41,6 +41,7 @@
 #: Seconds between two reports.
 REPORT_PERIOD = 0.4
 REPORT_TIMEOUT = 1.0
+RETIRED = fleet_pb2.SERVER_PHASE_RETIRED
 
 
 class FleetWatcher:
@@ -61,8 +62,10 @@
         "apply",
         "channels",
         "entries",
+        "has_binding_news",
         "is_connected",
         "loads",
+        "mark",
         "pause",
         "prompt",
         "settings",
@@ -97,6 +100,10 @@
         self.source = ""
         #: Newest term of a leader that was heard.
         self.term = 0
+        #: State of the leader in that term that this entry knows; 0 while that is not known.
+        self.mark = 0
+        #: Whether a publication or the leave of a server has come since the last mark.
+        self.has_binding_news = False
         #: Entries that follow the leader.
         self.entries = 1
         self.is_connected = True
@@ -137,6 +144,7 @@
         """Report loads, and ask for the newest publication, until cancelled."""
         while True:
             await wait_until_set(self.prompt, REPORT_PERIOD)
+            is_prompt = self.prompt.is_set()
             self.prompt.clear()
             if not self.source:
                 continue
@@ -149,6 +157,9 @@
                     )
                     for identity, (answers, seconds) in self.times().items()
                 ],
+                term=self.term,
+                mark=self.mark,
+                is_prompt=is_prompt,
             )
             stub = fleet_pb2_grpc.FleetStub(self.channels.to(self.source))
             asked_at = self.age.clock.now()
@@ -210,7 +221,8 @@
             call.cancel()
 
     def _take(self, address: str, update: fleet_pb2.FleetUpdate, parts: PublicationParts) -> None:
-        self.term = update.term
+        if update.term != self.term:
+            self.term, self.mark = update.term, 0
         self.sources.take(update.controls, update.sources)
         self.entries = max(update.entries, 1)
         if self.source != address:
@@ -222,6 +234,19 @@
             # The answer says whether the routes held here are still the newest.
             self.prompt.set()
         self.apply(update, parts)
+        self._mark(update)
+
+    def _mark(self, update: fleet_pb2.FleetUpdate) -> None:
+        """Note how far this entry follows, and report it at once if a confirmation may wait."""
+        self.has_binding_news |= update.HasField("publication") or any(
+            server.phase == RETIRED for server in update.servers
+        )
+        if not update.mark:
+            return
+        self.mark = update.mark
+        if self.has_binding_news:
+            self.has_binding_news = False
+            self.prompt.set()
 
     def _lost(self, address: str, cause: str, seconds: float) -> None:
         self.source = ""
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
@@ -9,9 +9,12 @@
 
 import pytest
 
+from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet.exceptions import TooFewReplicasError
 from medlarpass_daemon.control.fleet.fleet_operations import JOIN_TIME
+from medlarpass_daemon.control.fleet.fleet_operations import PUBLICATION_WAIT
 from medlarpass_daemon.control.fleet.fleet_operations import FleetOperations
+from medlarpass_daemon.control.fleet.watchers import REACHED
 
 
 def operations_of(world: Any, voters: int = 5, losses: int = 1) -> FleetOperations:
@@ -87,3 +90,122 @@
     operations = operations_of(world, voters=3, losses=2)
     world.clock.advance(JOIN_TIME)
     assert await operations.publish(publication(2), b"{}") == 2
+
+
+class FollowingEntry:
+    """An entry with an open stream that reports how far it follows."""
+
+    def __init__(self, world: Any, name: str) -> None:
+        self.world = world
+        self.name = name
+        world.fleet.watchers.opened(fleet_pb2.WatchRequest(entry=name))
+
+    def follow(self) -> None:
+        """Take all that the feed has, and report it."""
+        feed = self.world.fleet.feed
+        report = fleet_pb2.EntryReport(entry=self.name, term=feed.term, mark=feed.mark)
+        self.world.fleet.watchers.take(report)
+
+
+async def entries_of(world: Any, count: int) -> list[FollowingEntry]:
+    """Return entries that follow the world's replica."""
+    refresh(world)
+    entries = [FollowingEntry(world, f"e{number}") for number in range(count)]
+    for entry in entries:
+        entry.follow()
+    return entries
+
+
+def refresh(world: Any) -> None:
+    """Bring the feed of the world's replica up to date."""
+    world.fleet.refresh([], fleet_pb2.FleetSource())
+
+
+async def begun(action: Any) -> asyncio.Task[Any]:
+    """Return a task that has run as far as it can."""
+    task = asyncio.create_task(action)
+    for _ in range(20):
+        await asyncio.sleep(0)
+    return task
+
+
+async def test_a_publication_is_confirmed_once_entries_follow_it(new_world: Any) -> None:
+    """Guards against 404 at an entry that has not heard of a confirmed route yet."""
+    world = new_world(1)
+    operations = operations_of(world)
+    entries = await entries_of(world, 3)
+    confirmation = await begun(operations.publish(publication(2), b"{}"))
+    refresh(world)
+    for entry in entries:
+        assert not confirmation.done()
+        entry.follow()
+        await asyncio.sleep(0.01)
+    assert await confirmation == 2
+    # Sent again after a lost confirmation: nothing is left to wait for.
+    assert await operations.publish(publication(2), b"{}") == 2
+
+
+async def test_a_publication_that_the_feed_had_at_once_is_waited_for(new_world: Any) -> None:
+    """Guards against a wait for a later state than the one that tells of the publication."""
+    world = new_world(1)
+    world.state.observers.append(lambda: refresh(world))
+    operations = operations_of(world)
+    entries = await entries_of(world, 1)
+    confirmation = await begun(operations.publish(publication(2), b"{}"))
+    assert not confirmation.done()
+    entries[0].follow()
+    assert await confirmation == 2
+
+
+async def test_an_entry_that_stays_behind_holds_up_no_confirmation_for_long(new_world: Any) -> None:
+    """Guards against changes that one slow entry stops."""
+    world = new_world(1)
+    operations = operations_of(world)
+    await entries_of(world, 1)
+    confirmation = await begun(operations.publish(publication(2), b"{}"))
+    world.clock.advance(PUBLICATION_WAIT)
+    world.fleet.watchers.reported.set()
+    assert await confirmation == 2
+
+
+async def test_a_silent_entry_is_not_waited_for(new_world: Any) -> None:
+    """Guards against slow changes while a domain is cut off."""
+    world = new_world(1)
+    operations = operations_of(world)
+    await entries_of(world, 2)
+    world.clock.advance(REACHED)
+    assert await operations.publish(publication(2), b"{}") == 2
+
+
+async def test_a_leave_is_confirmed_once_entries_follow_it(new_world: Any) -> None:
+    """Guards against new work for a server whose leave was confirmed.
+
+    The server repeats its leave with each heartbeat; only the first confirmation takes longer.
+    """
+    world = new_world(1)
+    operations = operations_of(world)
+    server = world.servers["s0"]
+    await operations.notice(server.notice())
+    (entry,) = await entries_of(world, 1)
+    confirmation = await begun(operations.notice(server.notice(is_leaving=True)))
+    assert not confirmation.done()
+    refresh(world)
+    entry.follow()
+    await confirmation
+    refresh(world)
+    await operations.notice(server.notice(is_leaving=True))
+
+
+async def test_a_relay_counts_as_its_last_entry(new_world: Any) -> None:
+    """Guards against a confirmation that waits for relays but not for the entries behind them."""
+    world = new_world(1)
+    watchers = world.fleet.watchers
+    assert watchers.oldest((3, 9)) == (3, 9)
+    for name, position in (("e0", (3, 8)), ("e1", (3, 5)), ("e2", (2, 70))):
+        watchers.opened(fleet_pb2.WatchRequest(entry=name))
+        report = fleet_pb2.EntryReport(entry=name, term=position[0], mark=position[1])
+        watchers.take(report)
+    assert watchers.oldest((3, 9)) == (2, 70)
+    watchers.closed(fleet_pb2.WatchRequest(entry="e2"))
+    assert watchers.oldest((3, 9)) == (3, 5)
+    assert watchers.behind((3, 6)) == ["e1"]
