Hold requests that wait against the routes in force when they leave

Cause: route and pool were chosen when a request was read. It then waited for admission, a place, an owner or the next try, and left by that choice.

Change: a request remembers the revision of its route and looks it up again when that has changed: before each attempt, while it waits for a place, and before its first byte. A pool that the route still allows stays. A request whose class or kind of pool changes is refused as not run.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -21,11 +21,15 @@
 from medlarpass_daemon.entry.callers.exceptions import KeyMovedError
 from medlarpass_daemon.entry.callers.exceptions import NoOwnerError
 from medlarpass_daemon.entry.callers.exceptions import OwnerChangedError
+from medlarpass_daemon.entry.callers.exceptions import RouteMovedError
 from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
 from medlarpass_daemon.entry.callers.exceptions import ServerUnreachableError
 from medlarpass_daemon.entry.callers.exchange import Exchange
+from medlarpass_daemon.entry.callers.route_following import follow_route
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from medlarpass_daemon.entry.callers.interfaces import Target
     from medlarpass_daemon.entry.callers.owner_watch import WatchedAttempt
     from medlarpass_daemon.entry.callers.place import Place
@@ -89,11 +93,12 @@
     path: RequestPath, request: CallerRequest, tried: set[str], prefetch: int
 ) -> Delivery:
     place = await _place(path, request, tried)
+    pool = request.pool.name
     request.target = place.target
     tried.add(place.target.identity)
     watched = _watch(request, path, place.target)
     try:
-        exchange = _exchange(path, request, place.target)
+        exchange = _exchange(path, request, place.target, pool)
         answer = await path.client.send(exchange)
         place.answered()
         data = await answer.prefetch(prefetch)
@@ -128,22 +133,26 @@
 
 
 async def _place(path: RequestPath, request: CallerRequest, tried: set[str]) -> Place:
+    follow_route(path, request)
     if request.owned_key is None:
-        pool = request.pool.name
+
+        def usable() -> Sequence[Target]:
+            follow_route(path, request)
+            return path.servers.usable(request.pool.name)
+
         if isinstance(request, DownloadRequest):
             return await path.places.take(
-                lambda: path.places.near(path.servers.usable(pool), path.domain, tried),
+                lambda: path.places.near(usable(), path.domain, tried),
                 tried,
                 request.deadline,
                 request.route.target,
             )
-        return await path.places.take(
-            lambda: path.servers.usable(pool), tried, request.deadline, request.route.target
-        )
+        return await path.places.take(usable, tried, request.deadline, request.route.target)
     key = request.owned_key
     owner = await _owner(path, request, key)
 
     def owner_only() -> tuple[Target]:
+        follow_route(path, request)
         # The wait may outlast the ownership, for example when the owner is lost.
         if not path.owners.is_current(request.pool, key, owner):
             raise KeyMovedError("the key moved while the request waited for its owner")
@@ -166,7 +175,7 @@
             await path.owners.wait_for_change(min(request.remaining, rest))
 
 
-def _exchange(path: RequestPath, request: CallerRequest, target: Target) -> Exchange:
+def _exchange(path: RequestPath, request: CallerRequest, target: Target, pool: str) -> Exchange:
     web = request.web
     passed = path.dialect.to_server(
         web.headers, request.request_id, web.remote or "unknown", web.scheme, target
@@ -177,6 +186,9 @@
 
     def check() -> None:
         request.check_caller()
+        follow_route(path, request)
+        if request.pool.name != pool:
+            raise RouteMovedError("the route moved to another pool before the request was sent")
         key = request.owned_key
         if key is not None and not path.owners.is_current(request.pool, key, target):
             raise KeyMovedError("the key moved before the request was sent")
@@ -221,6 +233,8 @@
 ) -> bool:
     if not request.body.can_repeat or request.is_gone or request.remaining <= 0:
         return False
+    if isinstance(error, RouteMovedError):
+        return attempts < MOST_REROUTES
     if isinstance(error, KeyMovedError) or (
         _is_rerouting(error) and not path.dialect.counts_reroutes
     ):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_request.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_request.py
@@ -30,6 +30,7 @@
     :param deadline: reading of the clock when the answer is due
     :param body: body of the request
     :param clock: source of time
+    :param revision: revision of the configuration that route and pool are of
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "path",
         "pool",
         "request_id",
+        "revision",
         "route",
         "target",
         "web",
@@ -62,6 +64,7 @@
         deadline: float,
         body: CallerBody,
         clock: Clock,
+        revision: int,
     ) -> None:
         self.web = web
         self.request_id = request_id
@@ -72,6 +75,7 @@
         self.deadline = deadline
         self.body = body
         self.clock = clock
+        self.revision = revision
         #: Attempts begun so far, and the server of the newest one.
         self.attempts = 0
         self.target: Target | None = None
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -69,6 +69,19 @@
     http_status = 503
 
 
+class RouteChangedError(CallerError):
+    """The route changed while the request waited, which would have to be read in another way."""
+
+    code = "route_changed"
+    http_status = 503
+
+
+class RouteMovedError(RouteChangedError):
+    """The route went to another pool before the request was sent."""
+
+    code = "route_moved"
+
+
 class ServersBusyError(CallerError):
     """All servers that may run the request had no room for too long."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_reader.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_reader.py
@@ -20,6 +20,7 @@
     from medlarpass.tables import KeySource
     from medlarpass.tables import Route
     from medlarpass_daemon.entry.callers.caller_request import CallerRequest
+    from medlarpass_daemon.entry.callers.interfaces import RoutingTable
     from medlarpass_daemon.entry.callers.request_path import RequestPath
 
 
@@ -34,9 +35,8 @@
     target = _origin_form(web.raw_path)
     raw_path, _, query = target.partition("?")
     segments = _segments(raw_path)
-    route = path.routing.matcher.find(
-        _host(web.headers.get("Host", "")), _joined(raw_path, segments), web.method
-    )
+    revision = path.routing.revision
+    route = find_route(web, target, path.routing)
     pool = path.routing.pool_of(route)
     own = path.dialect.deadline_of(web.headers)
     allowed = route.deadline if own is None else min(route.deadline, own)
@@ -50,6 +50,20 @@
         path.clock.now() + allowed,
         CallerBody(web, _limit(web, route, path)),
         path.clock,
+        revision,
+    )
+
+
+def find_route(web: web.BaseRequest, target: str, routing: RoutingTable) -> Route:
+    """Find the route of a request.
+
+    :param target: path with query, as the caller sent it
+    :raises CallerError: when the path is not valid
+    :raises RouteNotFoundError: when no route matches
+    """
+    raw_path = target.partition("?")[0]
+    return routing.matcher.find(
+        _host(web.headers.get("Host", "")), _joined(raw_path, _segments(raw_path)), web.method
     )
 
 
--- a/packages/medlarpass/src/medlarpass/publication/published_route.py
+++ b/packages/medlarpass/src/medlarpass/publication/published_route.py
@@ -74,3 +74,8 @@
         self.priority: int = document["priority"]
         #: Servers that one request may be sent to at most.
         self.attempts: int = document["attempts"]
+
+    @property
+    def pool_names(self) -> tuple[str, ...]:
+        """Names of the pools that get a share of the requests."""
+        return tuple(share.pool for share in self.shares if share.weight > 0)
--- a/packages/medlarpass/src/medlarpass/tables/route.py
+++ b/packages/medlarpass/src/medlarpass/tables/route.py
@@ -62,6 +62,11 @@
         self.queue: int = limits["queue"]
         self.body_bytes: int = limits["body_bytes"]
 
+    @property
+    def pool_names(self) -> tuple[str, ...]:
+        """Names of the pools that requests of this route may go to."""
+        return (self.pool,)
+
     @classmethod
     def from_document(cls, name: str, document: Any) -> Route:
         """Build a route from parsed JSON or YAML.
