Compress publications in the control log

Change: both texts are compressed in the record; records of an earlier release are read as they are. The bound of a record stays.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -9,6 +9,8 @@
 from medlarpass import MedlarpassError
 from medlarpass.publication import Publication
 from medlarpass.publication import PublicationError
+from medlarpass.publication import source_of
+from medlarpass.publication import stored
 from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
 from medlarpass_daemon.control.fleet import events
@@ -121,9 +123,7 @@
             await self._wait_until_followed(self.fleet.publication_position(), PUBLICATION_WAIT)
             return in_force
         self._check_replicas()
-        body = control_pb2.Publish(
-            version=publication.version, document=publication.to_json(), source=source
-        )
+        body = stored(publication.version, publication.to_json(), source)
         result = await self._propose(control_pb2.Command(publish=body))
         events.PUBLICATION_ACCEPTED.log(
             version=publication.version,
@@ -145,10 +145,10 @@
         except NotLeaderError as error:
             raise NotLeadingError(self.log.leader_address()) from error
         await replica.wait_applied(index)
-        stored = self.fleet.state.publication
-        if not stored.version:
+        publication = self.fleet.state.publication
+        if not publication.version:
             raise NotPublishedError("nothing was published yet")
-        return stored.source
+        return source_of(publication)
 
     def _leave_position(self, identity: str, life: int) -> tuple[int, int]:
         """Return the term and mark under which entries hear that a server leaves.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -10,6 +10,7 @@
 from medlarpass.fleet import FleetDirectory
 from medlarpass.fleet import ServerNotice
 from medlarpass.publication import Publication
+from medlarpass.publication import document_of
 from medlarpass.ranges import PoolLoads
 from medlarpass.ranges import ServerSpeeds
 from medlarpass.rpc import fleet_pb2
@@ -162,7 +163,7 @@
         """Return the parts of the publication that the log says, packed once for all entries."""
         stored = self.state.publication
         if not self.packed or self.packed[0].version != stored.version:
-            self.packed = packed(stored.version, stored.document)
+            self.packed = packed(stored.version, document_of(stored))
         return self.packed
 
     @property
@@ -172,7 +173,7 @@
         if not stored.version:
             return None
         if self.parsed is None or self.parsed.version != stored.version:
-            self.parsed = Publication.from_json(stored.document)
+            self.parsed = Publication.from_json(document_of(stored))
         return self.parsed
 
     def owned_pools(self) -> list[str]:
--- a/packages/medlarpass/src/medlarpass/publication/__init__.py
+++ b/packages/medlarpass/src/medlarpass/publication/__init__.py
@@ -11,6 +11,9 @@
 from medlarpass.publication.published_pool import PublishedPool
 from medlarpass.publication.published_route import PoolShare
 from medlarpass.publication.published_route import PublishedRoute
+from medlarpass.publication.stored_publication import document_of
+from medlarpass.publication.stored_publication import source_of
+from medlarpass.publication.stored_publication import stored
 
 __all__ = [
     "CallerLimits",
@@ -22,4 +25,7 @@
     "PublicationError",
     "PublishedPool",
     "PublishedRoute",
+    "document_of",
+    "source_of",
+    "stored",
 ]
--- a/tests/processes/test_confirmed_publications.py
+++ b/tests/processes/test_confirmed_publications.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
 import string
@@ -30,6 +31,8 @@
 ROUTES = 1500
 THIN = 25_000
 HOST = "rolls.example"
+#: Routes of a publication whose text is larger than a record of the log.
+MANY_ROUTES = 6000
 #: Delay of a link in seconds, each way, that an entry still hears control over in time.
 SLOW = 0.1
 
@@ -182,3 +185,16 @@
     for number in range(20):
         assert (await system.ask(f"/art/{number}"))[0] == 200
     assert len(leaving.ran) == ran
+
+
+async def test_a_publication_of_thousands_of_routes_is_confirmed(system: Any) -> None:
+    """Guards against a bound of one log record on the number of routes.
+
+    2,000 and 1,500 routes more were answered 413, which operators take for final.
+    """
+    body = configuration(2, MANY_ROUTES, "/new/")
+    status, text = await system.control("config.put", body)
+    assert (status, text) == (200, "{}")
+    await system.until_served("/new/7")
+    status, text = await system.control("config.get", {})
+    assert (status, json.loads(text)) == (200, body)
