Check only the routes that a publication changes

Cause: each version was checked, built and parsed again as a whole, on the loop that serves everything else.

Change: a route that stays as it is in the publication in force is taken from there, by the operator's text only where types agree too (true is not 1), and the schema sees the rest. A document that is refused is checked as a whole, so that the message names the same place as before.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -112,7 +112,7 @@
         :raises UnknownResultError: the result is not known
         """
         try:
-            publication = Publication.from_document(document)
+            publication = Publication.from_document(document, self.fleet.publication)
         except PublicationError as error:
             events.PUBLICATION_REFUSED.log(reason=error.message)
             raise
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -173,7 +173,7 @@
         if not stored.version:
             return None
         if self.parsed is None or self.parsed.version != stored.version:
-            self.parsed = Publication.from_json(document_of(stored))
+            self.parsed = Publication.from_json(document_of(stored), self.parsed)
         return self.parsed
 
     def owned_pools(self) -> list[str]:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/publication_log.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/publication_log.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from medlarpass.publication import PublicationChange
+from medlarpass.publication import with_known_routes
 from medlarpass_daemon.publication_parts import packed
 
 if TYPE_CHECKING:
@@ -40,7 +41,7 @@
         if document["version"] <= self.version:
             return False
         if self.document is not None:
-            document = _with_known_routes(document, self.document)
+            document = with_known_routes(document, self.document)
             self.earlier.append(self.document)
         self.document = document
         self.packed.clear()
@@ -61,13 +62,3 @@
                 change = PublicationChange.between(known, document)
                 return packed(self.version, change.to_json(), version)
         return packed(self.version, json.dumps(document, separators=(",", ":")).encode())
-
-
-def _with_known_routes(document: dict[str, Any], known: dict[str, Any]) -> dict[str, Any]:
-    """Return a document that shares the routes that stay with another one."""
-    routes = {route["name"]: route for route in known["routes"]}
-    shared = []
-    for route in document["routes"]:
-        same = routes.get(route["name"])
-        shared.append(same if same == route else route)
-    return {**document, "routes": shared}
--- a/packages/medlarpass/src/medlarpass/publication/__init__.py
+++ b/packages/medlarpass/src/medlarpass/publication/__init__.py
@@ -5,6 +5,7 @@
 from medlarpass.publication.caller_limits import CallerLimits
 from medlarpass.publication.exceptions import InvalidPublicationError
 from medlarpass.publication.exceptions import PublicationError
+from medlarpass.publication.known_routes import with_known_routes
 from medlarpass.publication.prefix_matcher import PrefixMatcher
 from medlarpass.publication.publication import Publication
 from medlarpass.publication.publication_change import PublicationChange
@@ -28,4 +29,5 @@
     "document_of",
     "source_of",
     "stored",
+    "with_known_routes",
 ]
--- a/packages/medlarpass/src/medlarpass/publication/publication.py
+++ b/packages/medlarpass/src/medlarpass/publication/publication.py
@@ -10,6 +10,8 @@
 
 from medlarpass.publication.caller_limits import CallerLimits
 from medlarpass.publication.exceptions import InvalidPublicationError
+from medlarpass.publication.known_routes import is_same
+from medlarpass.publication.known_routes import with_known_routes
 from medlarpass.publication.prefix_matcher import PrefixMatcher
 from medlarpass.publication.published_pool import PublishedPool
 from medlarpass.publication.published_route import PublishedRoute
@@ -96,23 +98,33 @@
         self._check()
 
     @classmethod
-    def from_document(cls, document: Any) -> Publication:
+    def from_document(cls, document: Any, known: Publication | None = None) -> Publication:
         """Check a document and build the publication.
 
         :param document: parsed JSON
+        :param known: an earlier publication; routes that stay as they are in it need no check
         :raises InvalidPublicationError: naming the key and what was expected
         """
+        shared = document
+        if known is not None:
+            shared = with_known_routes(document, known.document, is_same)
         try:
-            return cls(SCHEMA(document))
+            return cls(_checked(shared, known), known)
         except vol.MultipleInvalid as error:
             first = error.errors[0]
             key = ".".join(str(part) for part in first.path)
             raise InvalidPublicationError(f"{key}: {first.msg}") from error
 
     @classmethod
-    def from_json(cls, text: bytes) -> Publication:
-        """Build a publication from the text that :meth:`to_json` returned."""
-        return cls(json.loads(text))
+    def from_json(cls, text: bytes, known: Publication | None = None) -> Publication:
+        """Build a publication from the text that :meth:`to_json` returned.
+
+        :param known: an earlier publication, whose routes are taken where they stay as they are
+        """
+        document = json.loads(text)
+        if known is not None:
+            document = with_known_routes(document, known.document)
+        return cls(document, known)
 
     def to_json(self) -> bytes:
         """Return the document as JSON text."""
@@ -147,3 +159,28 @@
                 raise InvalidPublicationError(f"{route.name}: expected a weight above 0")
             if route.target >= route.deadline + TARGET_OVER_TIMEOUT:
                 raise InvalidPublicationError(f"{route.name}: target far above the timeout")
+
+
+def _has_routes(document: Any) -> bool:
+    return isinstance(document, dict) and isinstance(document.get("routes"), list)
+
+
+def _checked(document: Any, known: Publication | None) -> dict[str, Any]:
+    """Return a document after a check of the routes that another publication does not have.
+
+    The check of thousands of routes takes a good part of a second, in which a leader sends nothing.
+
+    :raises voluptuous.MultipleInvalid: when a value is missing or wrong
+    """
+    if known is None or not _has_routes(document):
+        return dict(SCHEMA(document))
+    accepted = {id(route) for route in known.document["routes"]}
+    routes = document["routes"]
+    try:
+        new = SCHEMA({**document, "routes": [each for each in routes if id(each) not in accepted]})
+    except vol.MultipleInvalid:
+        # The whole check names the place of the wrong value in the whole list.
+        return dict(SCHEMA(document))
+    rest = iter(new["routes"])
+    new["routes"] = [each if id(each) in accepted else next(rest) for each in routes]
+    return dict(new)
--- a/packages/medlarpass/tests/publication/test_publication.py
+++ b/packages/medlarpass/tests/publication/test_publication.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
+import copy
+
 from typing import Any
 
 import pytest
 
 from medlarpass.publication import InvalidPublicationError
 from medlarpass.publication import Publication
+from medlarpass.publication import publication as publication_module
 from medlarpass.tables import RequestClass
 from medlarpass.tables import RouteNotFoundError
 from packages.medlarpass.tests.publication.documents import document
@@ -88,3 +91,55 @@
     """Guards against entries that put something else in force than control has accepted."""
     publication = Publication.from_document(document())
     assert Publication.from_json(publication.to_json()).document == publication.document
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"timeout": True}, {"attempts": 0}, {"shares": []}, {"class": "odd"}, {"priority": 2.0}],
+)
+def test_a_changed_route_is_checked_beside_known_ones(changes: dict[str, Any]) -> None:
+    """Guards against an invalid route that passes because it looks like the known one.
+
+    True and 2.0 equal 1 and 2.
+    """
+    base = document(timeout=1)
+    known = Publication.from_document(base)
+    wrong = document(2, timeout=1)
+    wrong["routes"][0].update(changes)
+    with pytest.raises(InvalidPublicationError) as alone:
+        Publication.from_document(wrong)
+    with pytest.raises(InvalidPublicationError) as beside:
+        Publication.from_document(wrong, known)
+    assert alone.value.message == beside.value.message
+
+
+@pytest.mark.parametrize("wrong", [None, [], {}, {"routes": 7}, {"routes": [7, {"name": []}]}])
+def test_what_is_no_document_is_refused_beside_known_routes(wrong: Any) -> None:
+    """Guards against a crash on bytes that some other program has sent."""
+    with pytest.raises(InvalidPublicationError):
+        Publication.from_document(wrong, Publication.from_document(document()))
+
+
+def test_routes_that_stay_are_not_checked_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a leader that stands still while it checks thousands of routes again."""
+    base = document()
+    template = base["routes"][0]
+    base["routes"] = [
+        {**template, "name": f"r{number}", "prefix": f"/{number}/"} for number in range(500)
+    ]
+    known = Publication.from_document(base)
+    newer = copy.deepcopy(base)
+    newer["version"] = 2
+    newer["routes"][7]["timeout"] = 3
+    sizes = []
+    schema = publication_module.SCHEMA
+
+    def counting(checked: Any) -> Any:
+        sizes.append(len(checked["routes"]))
+        return schema(checked)
+
+    monkeypatch.setattr(publication_module, "SCHEMA", counting)
+    made = Publication.from_document(newer, known)
+    assert sizes == [1]
+    assert made.document == newer
+    assert Publication.from_json(made.to_json(), known).document == newer
