Treat an unreadable part of a publication as a gap in its stream

Reading after the change to parts: bytes that are no zlib or JSON ended the task that follows control with an untyped error; it was started again half a second later. The stream now ends with publication_gap and begins anew at once, at a relay as at an entry. test_a_part_that_does_not_fit_is_refused covers both cases.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/publication_parts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/publication_parts.py
@@ -51,7 +51,7 @@
         """Take the next part and return the document once it is complete.
 
         :param held: document that this process has, if any
-        :raises PublicationGapError: a part is missing, or the change applies to another version
+        :raises PublicationGapError: a part is missing, can't be read, or applies to another version
         """
         if not part.part:
             self.version, self.base, self.pieces = part.version, part.base, []
@@ -61,11 +61,17 @@
         self.pieces.append(part.document)
         if len(self.pieces) < part.parts:
             return None
+        try:
+            return self._document(held)
+        except (zlib.error, ValueError, KeyError, TypeError) as error:
+            raise PublicationGapError(f"version {part.version} can't be read: {error!r}") from error
+
+    def _document(self, held: dict[str, Any] | None) -> dict[str, Any]:
         text = zlib.decompress(b"".join(self.pieces))
         self.pieces = []
-        if not part.base:
+        if not self.base:
             document: dict[str, Any] = json.loads(text)
             return document
-        if held is None or held["version"] != part.base:
-            raise PublicationGapError(f"version {part.version} changes {part.base}, not held here")
+        if held is None or held["version"] != self.base:
+            raise PublicationGapError(f"version {self.version} changes {self.base}, not held here")
         return PublicationChange.from_json(text).applied_to(held)
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
@@ -88,13 +88,15 @@
 
 
 def test_a_part_that_does_not_fit_is_refused() -> None:
-    """Guards against routes put together from two versions."""
+    """Guards against routes put together from two versions, and against a task that bytes end."""
     routing = routing_of()
     text = publication(7, {"a": 1}).document
     whole = fleet_pb2.PackedPublication(version=7, document=zlib.compress(text), parts=1)
     second = fleet_pb2.PackedPublication(version=7, document=b"x", part=1, parts=2)
     change = fleet_pb2.PackedPublication(version=7, base=6, document=zlib.compress(text), parts=1)
-    for wrong in (second, change):
+    noise = fleet_pb2.PackedPublication(version=7, document=b"noise", parts=1)
+    text_only = fleet_pb2.PackedPublication(version=7, document=zlib.compress(b"{"), parts=1)
+    for wrong in (second, change, noise, text_only):
         with pytest.raises(PublicationGapError):
             routing.take(wrong, PublicationParts())
     assert routing.take(whole, PublicationParts())
