--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -165,6 +165,8 @@
     async def _wait_until_followed(self, position: tuple[int, int], most: float) -> None:
         """Return once all entries that are reached follow a state of this leader.
 
+        A leader that has just been elected does not know yet whom it reaches.
+
         Those that do not within the bound have the time that the platform gives entries after a
         confirmation, and know from the answers to their reports that they miss something.
 
@@ -172,9 +174,10 @@
         :param most: seconds after which the confirmation is given all the same
         """
         watchers = self.fleet.watchers
-        began_at = self.fleet.clock.now()
-        while behind := watchers.behind(position):
-            rest = began_at + most - self.fleet.clock.now()
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + most
+        while (behind := watchers.behind(position)) or self.fleet.is_gathering:
+            rest = give_up_at - loop.time()
             if rest <= 0:
                 events.CONFIRMED_EARLY.log(
                     term=position[0],
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,7 @@
 from medlarpass.ranges import ServerSpeeds
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet.fleet_feed import FleetFeed
+from medlarpass_daemon.control.fleet.watchers import REACHED
 from medlarpass_daemon.control.fleet.watchers import Watchers
 from medlarpass_daemon.publication_parts import packed
 
@@ -47,6 +49,7 @@
         "has_new_servers",
         "known_ranges",
         "lease",
+        "led_at",
         "led_term",
         "loads",
         "moving",
@@ -79,6 +82,8 @@
         self.published_mark = 0
         #: Time for which this replica surely is the only leader, once it keeps the ranges.
         self.lease: LeaderLease | None = None
+        #: Reading of the clock when this replica began to keep the ranges.
+        self.led_at = -math.inf
         self.feed = FleetFeed()
         self.has_new_ranges = True
         self.has_new_servers = True
@@ -101,6 +106,7 @@
         self.speeds = ServerSpeeds()
         self.weights = ServerWeights()
         self.led_term = term
+        self.led_at = self.clock.now()
         self.published_mark = self.feed.mark + 1
         for record in self.state.servers.all():
             self.directory.observe(ServerNotice.from_record(record))
@@ -110,6 +116,11 @@
         """End a leadership."""
         self.led_term = 0
 
+    @property
+    def is_gathering(self) -> bool:
+        """Whether relays and entries may not have reported to this new leader yet."""
+        return self.clock.now() - self.led_at < REACHED
+
     def next_position(self) -> tuple[int, int]:
         """Return the term and mark under which the feed tells what has changed by now."""
         return self.led_term, self.feed.mark + 1
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
@@ -108,7 +108,8 @@
 
 
 async def entries_of(world: Any, count: int) -> list[FollowingEntry]:
-    """Return entries that follow the world's replica."""
+    """Return entries that follow the world's replica, which has led for some time."""
+    world.clock.advance(REACHED)
     refresh(world)
     entries = [FollowingEntry(world, f"e{number}") for number in range(count)]
     for entry in entries:
@@ -163,11 +164,24 @@
     operations = operations_of(world)
     await entries_of(world, 1)
     confirmation = await begun(operations.publish(publication(2), b"{}"))
-    world.clock.advance(PUBLICATION_WAIT)
-    world.fleet.watchers.reported.set()
     assert await confirmation == 2
 
 
+async def test_a_new_leader_waits_for_entries_to_report(new_world: Any) -> None:
+    """Guards against a confirmation that counts nobody because nobody has reported yet.
+
+    A route was confirmed a moment after an election; entries denied it 3.6 s later.
+    """
+    world = new_world(1)
+    operations = operations_of(world)
+    began_at = asyncio.get_running_loop().time()
+    assert await operations.publish(publication(2), b"{}") == 2
+    assert asyncio.get_running_loop().time() - began_at >= PUBLICATION_WAIT
+    world.clock.advance(REACHED)
+    confirmation = await begun(operations.publish(publication(3), b"{}"))
+    assert confirmation.done()
+
+
 async def test_a_silent_entry_is_not_waited_for(new_world: Any) -> None:
     """Guards against slow changes while a domain is cut off."""
     world = new_world(1)
