--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
@@ -15,6 +15,7 @@
 from medlarpass_daemon.entry.fleet.events import SERVER_DROPPED
 from medlarpass_daemon.entry.fleet.events import SERVER_RETIRED
 from medlarpass_daemon.entry.fleet.events import SERVERS_LEARNED
+from medlarpass_daemon.waiting import wait_until_set
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -163,12 +164,7 @@
 
     async def wait_for_change(self, timeout: float) -> None:
         """Return after the next change, or after ``timeout`` seconds."""
-        change = self.change
-        try:
-            async with asyncio.timeout(timeout):
-                await change.wait()
-        except TimeoutError:
-            return
+        await wait_until_set(self.change, timeout)
 
     def _range_of(self, pool: Pool, key: int) -> fleet_pb2.FleetRange | None:
         ranges = self.ranges.get(pool.name)
