Bound the age that a replica tells of the newest publication

Found by reading: a replica that stopped relaying kept the last word of a leader, and its age in milliseconds did not fit the field after 49 days, which would have ended each report with an error. After a minute the statement is of no use and is left out; test_a_relay_is_as_sure_as_when_it_asked_the_leader covers it.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/newest_publication.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/newest_publication.py
@@ -10,6 +10,9 @@
     from medlarpass import Clock
     from medlarpass_daemon.control.fleet.fleet_state import FleetState
 
+#: Seconds after which what the leader said is of no use to an entry. The age has to fit its field.
+OLDEST = 60.0
+
 
 class NewestPublication:
     """Tells entries and relays up to when they can be sure of the newest version.
@@ -47,9 +50,9 @@
             return fleet_pb2.EntryReportResponse(
                 publication_version=self.fleet.state.publication.version
             )
-        if not self.version:
-            return fleet_pb2.EntryReportResponse()
         age = self.clock.now() - self.known_at
+        if not self.version or age > OLDEST:
+            return fleet_pb2.EntryReportResponse()
         return fleet_pb2.EntryReportResponse(
             publication_version=self.version, age_ms=int(age * 1000) + 1
         )
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
@@ -400,3 +400,5 @@
     answer = await relay.Report(report, None)
     assert answer.publication_version == 7
     assert 250 <= answer.age_ms <= 252
+    world.clock.advance(90 * 24 * 3600)
+    assert not (await relay.Report(report, None)).publication_version
