Ask the next replica beside a late one, not in its place

Cause: an entry gave a replica 0.6 s for its first answer. On a link whose queue of bodies takes longer, every try fails, whoever is asked, and what was on its way is thrown away.

Change: streams are tasks of their own. When an answer or the next update is late, another replica is asked beside it, three at a time; the first that says something is followed and the others end. A stream is given up after 3 s without a message.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -29,11 +29,16 @@
     from medlarpass_daemon.seeds import Seeds
     from medlarpass_daemon.settings import DaemonSettings
 
-#: Seconds without an update after which a stream counts as broken; a replica sends one at least
+#: Seconds without an update after which another replica is asked too; a replica sends one at least
 #: every half second.
-SILENCE = 1.2
-#: Seconds until a replica that was just asked has to answer.
+QUIET = 1.2
+#: Seconds until a replica that was just asked has to answer before another one is asked too.
 FIRST_ANSWER = 0.6
+#: Seconds without a message after which a stream is given up. On a link that is full of bodies a
+#: request and its answer take more than a second.
+PATIENCE = 3.0
+#: Replicas that are asked at a time.
+MOST_STREAMS = 3
 #: Bounds of the seconds between two tries; the pause grows while no replica serves, so that
 #: hundreds of entries do not keep the few replicas busy with refusals.
 LEAST_PAUSE = 0.1
@@ -44,6 +49,22 @@
 RETIRED = fleet_pb2.SERVER_PHASE_RETIRED
 
 
+class ControlStream:
+    """A stream of updates from a control replica.
+
+    :param address: address of the replica
+    :param began_at: reading of the loop's clock when it was asked
+    """
+
+    __slots__ = ("address", "began_at", "updates")
+
+    def __init__(self, address: str, began_at: float) -> None:
+        self.address = address
+        self.began_at = began_at
+        #: Updates that it has brought.
+        self.updates = 0
+
+
 class FleetWatcher:
     """Keeps a stream of updates from a control replica open and reports to it.
 
@@ -61,6 +82,7 @@
         "age",
         "apply",
         "channels",
+        "due_at",
         "entries",
         "has_binding_news",
         "is_connected",
@@ -71,9 +93,9 @@
         "settings",
         "source",
         "sources",
+        "streams",
         "term",
         "times",
-        "updates",
         "version",
     )
 
@@ -110,35 +132,96 @@
         self.pause = LEAST_PAUSE
         #: Set when a report is due before its period ends.
         self.prompt = asyncio.Event()
-        #: Updates that the present stream has brought.
-        self.updates = 0
+        #: Streams by the task that reads them.
+        self.streams: dict[asyncio.Task[str], ControlStream] = {}
+        #: Reading of the loop's clock when another replica is asked.
+        self.due_at = 0.0
 
     async def run(self) -> None:
-        """Follow control until cancelled."""
+        """Follow control until cancelled.
+
+        A replica that is late is not given up for the next one: on a full link every answer is
+        late, and an entry that begins anew each time follows nobody. The next one is asked beside
+        it, and the first to say something is followed.
+        """
         hint = ""
-        while True:
-            address = hint or self.sources.next()
-            self.updates = 0
-            began_at = asyncio.get_running_loop().time()
-            try:
-                hint = await self._follow(address)
-                cause = "another replica is named" if hint else "the replica has ended it"
-            except grpc.aio.AioRpcError as error:
-                hint, cause = "", str(error.code())
-            except TimeoutError:
-                hint, cause = "", "silence"
-            except PublicationGapError as error:
-                hint, cause = "", error.code
-            if hint and hint != address and hint == self.sources.first():
-                # A change of the replica is no loss; what is known stays in force meanwhile. A
-                # leader that has just been elected names itself and is asked again after a pause.
-                self.source = ""
-                continue
-            self._lost(address, cause, asyncio.get_running_loop().time() - began_at)
-            if not hint or hint == address:
-                hint = ""
-                await asyncio.sleep(self.pause * random.uniform(0.5, 1.0))
-                self.pause = min(self.pause * 1.5, MOST_PAUSE)
+        try:
+            while True:
+                if self._is_another_due():
+                    self._open(hint or self.sources.next())
+                    hint = ""
+                for task in await self._wait():
+                    hint = self._ended(task) or hint
+        finally:
+            self._end_others(None)
+
+    def _is_another_due(self) -> bool:
+        is_due = asyncio.get_running_loop().time() >= self.due_at
+        return is_due and len(self.streams) < MOST_STREAMS
+
+    async def _wait(self) -> set[asyncio.Task[str]]:
+        """Return the streams that have ended, or none once another replica is due."""
+        rest = self.due_at - asyncio.get_running_loop().time()
+        if not self.streams:
+            await asyncio.sleep(rest)
+            return set()
+        # A full set of streams changes when one of them ends only.
+        timeout = max(rest, 0.0) if len(self.streams) < MOST_STREAMS else None
+        done, _ = await asyncio.wait(
+            self.streams, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+        )
+        return done
+
+    def _open(self, address: str) -> None:
+        """Ask a replica, or the next one that is not being asked."""
+        now = asyncio.get_running_loop().time()
+        self.due_at = now + FIRST_ANSWER
+        asked = {stream.address for stream in self.streams.values()}
+        for _ in asked:
+            if address in asked:
+                address = self.sources.next()
+        if address not in asked:
+            task = asyncio.create_task(self._follow(address))
+            self.streams[task] = ControlStream(address, now)
+
+    def _ended(self, task: asyncio.Task[str]) -> str:
+        """Take the end of a stream and return the address of a replica to ask at once, if any."""
+        stream = self.streams.pop(task)
+        hint = ""
+        try:
+            hint = task.result()
+            cause = "another replica is named" if hint else "the replica has ended it"
+        except asyncio.CancelledError:
+            # Another stream has taken over.
+            return ""
+        except grpc.aio.AioRpcError as error:
+            cause = str(error.code())
+        except TimeoutError:
+            cause = "silence"
+        except PublicationGapError as error:
+            cause = error.code
+        if self.source not in ("", stream.address):
+            return ""
+        now = asyncio.get_running_loop().time()
+        is_named = hint not in ("", stream.address)
+        if is_named and hint == self.sources.first():
+            # A change of the replica is no loss; what is known stays in force meanwhile.
+            self.source = ""
+        else:
+            self._lost(stream, cause)
+        if is_named:
+            self.due_at = now
+            return hint
+        # A leader that has just been elected names itself and is asked again after a pause.
+        self.due_at = now + self.pause * random.uniform(0.5, 1.0)
+        self.pause = min(self.pause * 1.5, MOST_PAUSE)
+        return ""
+
+    def _end_others(self, kept: asyncio.Task[str] | None) -> None:
+        """End all streams but one."""
+        for task in self.streams:
+            if task is not kept:
+                task.cancel()
 
     async def report(self) -> None:
         """Report loads, and ask for the newest publication, until cancelled."""
@@ -193,11 +276,10 @@
         )
         call = stub.Watch(request)
         parts = PublicationParts()
-        wait = FIRST_ANSWER
         leave_at = asyncio.get_running_loop().time() + self.sources.stay()
         try:
             while True:
-                async with asyncio.timeout(wait):
+                async with asyncio.timeout(PATIENCE):
                     update = await call.read()
                 if not isinstance(update, fleet_pb2.FleetUpdate):
                     # The stream has ended.
@@ -211,9 +293,7 @@
                 if update.term < self.term:
                     # A deposed leader that does not know it yet.
                     return ""
-                self.updates += 1
                 self._take(address, update, parts)
-                wait = SILENCE
                 has_stayed = asyncio.get_running_loop().time() >= leave_at
                 if has_stayed and self.sources.is_better_known(address):
                     return self.sources.first()
@@ -225,6 +305,11 @@
             self.term, self.mark = update.term, 0
         self.sources.take(update.controls, update.sources)
         self.entries = max(update.entries, 1)
+        self.due_at = asyncio.get_running_loop().time() + QUIET
+        task = asyncio.current_task()
+        if task in self.streams:
+            self.streams[task].updates += 1
+        self._end_others(task)
         if self.source != address:
             WATCH_REGAINED.log(control=address, term=update.term, tries=self.sources.tries)
             self.source = address
@@ -248,15 +333,16 @@
             self.has_binding_news = False
             self.prompt.set()
 
-    def _lost(self, address: str, cause: str, seconds: float) -> None:
+    def _lost(self, stream: ControlStream, cause: str) -> None:
         self.source = ""
         if self.is_connected and self.term:
             self.is_connected = False
+            seconds = asyncio.get_running_loop().time() - stream.began_at
             WATCH_LOST.log(
-                control=address,
+                control=stream.address,
                 term=self.term,
                 version=self.version(),
                 cause=cause,
-                updates=self.updates,
+                updates=stream.updates,
                 seconds=round(seconds, 3),
             )
--- a/tests/processes/test_confirmed_publications.py
+++ b/tests/processes/test_confirmed_publications.py
@@ -35,6 +35,8 @@
 MANY_ROUTES = 6000
 #: Delay of a link in seconds, each way, that an entry still hears control over in time.
 SLOW = 0.1
+#: The same of a link whose queue is long because of bodies; a request and its answer take 0.8 s.
+LATE = 0.4
 
 
 def configuration(version: int, extra: int, new: str = "") -> dict[str, Any]:
@@ -92,6 +94,15 @@
             link.rate_back = THIN
 
 
+async def lose_stream_on_slow_link(system: FleetSystem) -> None:
+    """Reset the entry's streams while each answer takes longer than a quick one."""
+    assert system.relays is not None
+    for link in system.relays.links.values():
+        if link.source == "entry":
+            link.delay = LATE
+            system.relays.reset(link)
+
+
 async def silence_control(system: FleetSystem) -> None:
     """Let nothing that control says reach the entry."""
     assert system.relays is not None
@@ -126,6 +137,7 @@
 PLACES = {
     "nothing": leave_as_is,
     "thin link": make_link_thin,
+    "slow link": lose_stream_on_slow_link,
     "silent control": silence_control,
     "stopped replica": stop_followed_replica,
 }
