Follow the present replica until the preferred one speaks

Cause: an entry ended its stream first and asked the replica of its own domain then.

Change: the preferred replica is asked beside the present one, which is left once the other one speaks.

Result: test_a_working_replica_is_kept_until_the_preferred_one_speaks, silent and failing, and test_the_preferred_replica_is_followed_once_it_speaks failed before (the entry followed nobody in between) and pass.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -153,7 +153,7 @@
                 for task in await self._wait():
                     hint = self._ended(task) or hint
         finally:
-            self._end_others(None)
+            self._end_others("")
 
     def _is_another_due(self) -> bool:
         is_due = asyncio.get_running_loop().time() >= self.due_at
@@ -174,15 +174,18 @@
 
     def _open(self, address: str) -> None:
         """Ask a replica, or the next one that is not being asked."""
-        now = asyncio.get_running_loop().time()
-        self.due_at = now + FIRST_ANSWER
+        self.due_at = asyncio.get_running_loop().time() + FIRST_ANSWER
         asked = {stream.address for stream in self.streams.values()}
         for _ in asked:
             if address in asked:
                 address = self.sources.next()
-        if address not in asked:
+        self._ask(address)
+
+    def _ask(self, address: str) -> None:
+        """Ask a replica unless it is being asked."""
+        if all(stream.address != address for stream in self.streams.values()):
             task = asyncio.create_task(self._follow(address))
-            self.streams[task] = ControlStream(address, now)
+            self.streams[task] = ControlStream(address, asyncio.get_running_loop().time())
 
     def _ended(self, task: asyncio.Task[str]) -> str:
         """Take the end of a stream and return the address of a replica to ask at once, if any."""
@@ -217,10 +220,17 @@
         self.pause = min(self.pause * 1.5, MOST_PAUSE)
         return ""
 
-    def _end_others(self, kept: asyncio.Task[str] | None) -> None:
-        """End all streams but one."""
-        for task in self.streams:
-            if task is not kept:
+    def _end_others(self, address: str) -> None:
+        """End the streams that are not needed any more.
+
+        :param address: replica that has just spoken; empty when none is to be followed
+        """
+        kept = {address}
+        if address and address == self.source:
+            # The preferred replica was asked while this one serves, and may still answer.
+            kept.add(self.sources.first())
+        for task, stream in self.streams.items():
+            if stream.address not in kept:
                 task.cancel()
 
     async def report(self) -> None:
@@ -294,9 +304,11 @@
                     # A deposed leader that does not know it yet.
                     return ""
                 self._take(address, update, parts)
-                has_stayed = asyncio.get_running_loop().time() >= leave_at
-                if has_stayed and self.sources.is_better_known(address):
-                    return self.sources.first()
+                now = asyncio.get_running_loop().time()
+                if now >= leave_at and self.sources.is_better_known(address):
+                    # This stream goes on until the other replica has something to say.
+                    self._ask(self.sources.first())
+                    leave_at = now + self.sources.stay()
         finally:
             call.cancel()
 
@@ -309,7 +321,7 @@
         task = asyncio.current_task()
         if task in self.streams:
             self.streams[task].updates += 1
-        self._end_others(task)
+        self._end_others(address)
         if self.source != address:
             WATCH_REGAINED.log(control=address, term=update.term, tries=self.sources.tries)
             self.source = address
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
@@ -5,20 +5,18 @@
 import asyncio
 
 from types import SimpleNamespace
-from typing import TYPE_CHECKING
 from typing import Any
 
 import grpc
+import pytest
 
 from medlarpass.ranges import KeyLoads
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
+from medlarpass_daemon.entry.fleet import control_sources
 from medlarpass_daemon.entry.fleet import fleet_watcher
 from medlarpass_daemon.entry.fleet.fleet_watcher import FleetWatcher
 
-if TYPE_CHECKING:
-    import pytest
-
 LEADER = "10.0.0.1:1"
 
 
@@ -144,3 +142,35 @@
     await entry.run(1.2)
     assert entry.sources == ["", NEAR, FAR]
     assert (near.cancelled, far.cancelled) == (1, 1)
+
+
+@pytest.mark.parametrize(
+    "near", [ScriptedReplica(0.0, fails=True), ScriptedReplica(60.0)], ids=["fails", "silent"]
+)
+async def test_a_working_replica_is_kept_until_the_preferred_one_speaks(
+    monkeypatch: pytest.MonkeyPatch, near: ScriptedReplica
+) -> None:
+    """Guards against an entry without control because the replica of its domain is just starting.
+
+    Entries left a replica of another domain that served them, could not reach their own for
+    seconds, and had to look for another one again.
+    """
+    monkeypatch.setattr(control_sources, "LEAST_STAY", 0.05)
+    monkeypatch.setattr(control_sources, "MOST_STAY", 0.05)
+    entry = WatchedEntry(monkeypatch, [FAR], near=near, far=ScriptedReplica(0.01))
+    await entry.run(0.5)
+    assert entry.sources == ["", FAR]
+    assert near.asked
+
+
+async def test_the_preferred_replica_is_followed_once_it_speaks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against entries that stay with a far replica for good."""
+    monkeypatch.setattr(control_sources, "LEAST_STAY", 0.05)
+    monkeypatch.setattr(control_sources, "MOST_STAY", 0.05)
+    far = ScriptedReplica(0.01)
+    entry = WatchedEntry(monkeypatch, [FAR], near=ScriptedReplica(0.1), far=far)
+    await entry.run(0.6)
+    assert entry.sources == ["", FAR, NEAR]
+    assert far.cancelled == 1
