Let a stream that does not fit end no other one

Found by reading the parallel streams: a replica that is asked beside the present one is asked for changes of the version that the entry has then. When a publication comes first, its answer does not fit; it had already taken over, and the entry was without control until the next answer.

Change: an update is applied before its stream takes over, and a change for another version is noticed at its first part.

Result: test_a_stream_that_does_not_fit_ends_no_other_one and the new case of test_a_part_that_does_not_fit_is_refused failed before and pass; fleet tests of entry and control: 104 passed.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -317,6 +317,9 @@
             self.term, self.mark = update.term, 0
         self.sources.take(update.controls, update.sources)
         self.entries = max(update.entries, 1)
+        # A stream that was asked for before the last publication may not fit; then it ends here,
+        # and the present one goes on.
+        self.apply(update, parts)
         self.due_at = asyncio.get_running_loop().time() + QUIET
         task = asyncio.current_task()
         if task in self.streams:
@@ -330,7 +333,6 @@
             self.sources.served()
             # The answer says whether the routes held here are still the newest.
             self.prompt.set()
-        self.apply(update, parts)
         self._mark(update)
 
     def _mark(self, update: fleet_pb2.FleetUpdate) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/publication_parts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/publication_parts.py
@@ -55,6 +55,7 @@
         """
         if not part.part:
             self.version, self.base, self.pieces = part.version, part.base, []
+            self._check_base(held)
         expected = (self.version, self.base, len(self.pieces))
         if (part.version, part.base, part.part) != expected:
             raise PublicationGapError(f"a part of version {part.version} is missing")
@@ -66,12 +67,15 @@
         except (zlib.error, ValueError, KeyError, TypeError) as error:
             raise PublicationGapError(f"version {part.version} can't be read: {error!r}") from error
 
+    def _check_base(self, held: dict[str, Any] | None) -> None:
+        if self.base and (held is None or held["version"] != self.base):
+            raise PublicationGapError(f"version {self.version} changes {self.base}, not held here")
+
     def _document(self, held: dict[str, Any] | None) -> dict[str, Any]:
         text = zlib.decompress(b"".join(self.pieces))
         self.pieces = []
-        if not self.base:
+        if held is None or not self.base:
             document: dict[str, Any] = json.loads(text)
             return document
-        if held is None or held["version"] != self.base:
-            raise PublicationGapError(f"version {self.version} changes {self.base}, not held here")
+        self._check_base(held)
         return PublicationChange.from_json(text).applied_to(held)
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
@@ -96,7 +96,8 @@
     change = fleet_pb2.PackedPublication(version=7, base=6, document=zlib.compress(text), parts=1)
     noise = fleet_pb2.PackedPublication(version=7, document=b"noise", parts=1)
     text_only = fleet_pb2.PackedPublication(version=7, document=zlib.compress(b"{"), parts=1)
-    for wrong in (second, change, noise, text_only):
+    begun = fleet_pb2.PackedPublication(version=7, base=6, document=b"x", part=0, parts=3)
+    for wrong in (second, change, noise, text_only, begun):
         with pytest.raises(PublicationGapError):
             routing.take(wrong, PublicationParts())
     assert routing.take(whole, PublicationParts())
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 from types import SimpleNamespace
+from typing import TYPE_CHECKING
 from typing import Any
 
 import grpc
@@ -16,6 +18,10 @@
 from medlarpass_daemon.entry.fleet import control_sources
 from medlarpass_daemon.entry.fleet import fleet_watcher
 from medlarpass_daemon.entry.fleet.fleet_watcher import FleetWatcher
+from medlarpass_daemon.exceptions import PublicationGapError
+
+if TYPE_CHECKING:
+    from medlarpass_daemon.publication_parts import PublicationParts
 
 LEADER = "10.0.0.1:1"
 
@@ -61,7 +67,7 @@
         self.is_first = False
         if self.replica.fails:
             raise grpc.aio.AioRpcError(grpc.StatusCode.UNAVAILABLE, *NO_METADATA)
-        return fleet_pb2.FleetUpdate(term=self.term, sources=SOURCES)
+        return fleet_pb2.FleetUpdate(term=self.term, sources=SOURCES, entries=self.replica.number)
 
     def cancel(self) -> None:
         self.replica.cancelled += 1
@@ -74,6 +80,8 @@
         self.first_after = first_after
         self.period = period
         self.fails = fails
+        #: Told in each update, so that its sender is known.
+        self.number = next(NUMBERS)
         self.asked = 0
         self.cancelled = 0
 
@@ -87,6 +95,7 @@
     fleet_pb2.FleetSource(address=NEAR, domain="north"),
     fleet_pb2.FleetSource(address=FAR, domain="south"),
 ]
+NUMBERS = itertools.count(1)
 NO_METADATA = (grpc.aio.Metadata(), grpc.aio.Metadata())
 
 
@@ -103,10 +112,17 @@
         channels: Any = SimpleNamespace(to=lambda address: address)
         nothing: Any = None
         self.watcher = FleetWatcher(
-            settings, found, lambda *_: None, lambda: 0, nothing, KeyLoads(), dict, channels
+            settings, found, self.apply, lambda: 0, nothing, KeyLoads(), dict, channels
         )
+        #: Replicas whose streams do not fit the routes that the entry has.
+        self.unfit: list[ScriptedReplica] = []
         self.sources: list[str] = []
 
+    def apply(self, update: fleet_pb2.FleetUpdate, parts: PublicationParts) -> None:
+        """Take an update unless its stream does not fit."""
+        if any(update.entries == replica.number for replica in self.unfit):
+            raise PublicationGapError("not held here")
+
     async def run(self, seconds: float) -> None:
         """Let the watcher run and note whom it follows."""
         running = asyncio.create_task(self.watcher.run())
@@ -174,3 +190,20 @@
     await entry.run(0.6)
     assert entry.sources == ["", FAR, NEAR]
     assert far.cancelled == 1
+
+
+async def test_a_stream_that_does_not_fit_ends_no_other_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an entry without control when a publication overtakes its change of replica.
+
+    The preferred replica was asked for changes of the version that the entry had then.
+    """
+    monkeypatch.setattr(control_sources, "LEAST_STAY", 0.05)
+    monkeypatch.setattr(control_sources, "MOST_STAY", 0.05)
+    near = ScriptedReplica(0.05)
+    entry = WatchedEntry(monkeypatch, [FAR], near=near, far=ScriptedReplica(0.01))
+    entry.unfit.append(near)
+    await entry.run(0.4)
+    assert entry.sources == ["", FAR]
+    assert near.asked
