Keep the reports of an entry apart from its streams

Read-through: FleetWatcher followed replicas and reported to them, with eight parameters. EntryReports now reports and takes the answers; the watcher says when a report is due. Behaviour stays.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -9,6 +9,7 @@
 from medlarpass.ranges import KeyLoads
 from medlarpass_daemon.entry.callers import CallersServer
 from medlarpass_daemon.entry.callers.metrics import CallersMetrics
+from medlarpass_daemon.entry.fleet.entry_reports import EntryReports
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
 from medlarpass_daemon.entry.fleet.fleet_servers import FleetServers
 from medlarpass_daemon.entry.fleet.fleet_watcher import FleetWatcher
@@ -52,6 +53,7 @@
         "callers",
         "metrics",
         "readiness",
+        "reports",
         "routing",
         "servers",
         "settings",
@@ -94,11 +96,9 @@
             seeds,
             self._apply,
             lambda: self.routing.revision,
-            age,
-            loads,
-            self.callers.path.places.take_times,
             channels,
         )
+        self.reports = EntryReports(self.watcher, age, loads, self.callers.path.places.take_times)
         self.tasks: list[asyncio.Task[None]] = []
 
     def add_services(self, server: grpc.aio.Server) -> None:
@@ -109,7 +109,7 @@
         self.readiness.block(NO_PUBLICATION, "no publication from control yet")
         runs = {
             "fleet watcher": self.watcher.run,
-            "fleet reports": self.watcher.report,
+            "fleet reports": self.reports.run,
             "departed servers": self._drop_departed,
         }
         self.tasks = [asyncio.create_task(supervise(name, run)) for name, run in runs.items()]
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -13,18 +13,14 @@
 from medlarpass.rpc import fleet_pb2_grpc
 from medlarpass_daemon.entry.fleet.control_sources import ControlSources
 from medlarpass_daemon.entry.fleet.events import FOLLOWER_HEARD
-from medlarpass_daemon.entry.fleet.events import PUBLICATION_OVERDUE
 from medlarpass_daemon.entry.fleet.events import WATCH_LOST
 from medlarpass_daemon.entry.fleet.events import WATCH_REGAINED
 from medlarpass_daemon.exceptions import PublicationGapError
 from medlarpass_daemon.publication_parts import PublicationParts
-from medlarpass_daemon.waiting import wait_until_set
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from medlarpass.ranges import KeyLoads
-    from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
     from medlarpass_daemon.rpc_channels import RpcChannels
     from medlarpass_daemon.seeds import Seeds
     from medlarpass_daemon.settings import DaemonSettings
@@ -43,9 +39,6 @@
 #: hundreds of entries do not keep the few replicas busy with refusals.
 LEAST_PAUSE = 0.1
 MOST_PAUSE = 0.4
-#: Seconds between two reports.
-REPORT_PERIOD = 0.4
-REPORT_TIMEOUT = 1.0
 RETIRED = fleet_pb2.SERVER_PHASE_RETIRED
 
 
@@ -66,36 +59,30 @@
 
 
 class FleetWatcher:
-    """Keeps a stream of updates from a control replica open and reports to it.
+    """Keeps a stream of updates from a control replica open.
 
     :param settings: settings of the process
     :param seeds: addresses to begin with
     :param apply: takes an update, with the parts of a publication that its stream has brought
     :param version: returns the version of the publication in force
-    :param age: learns how old that may be
-    :param loads: loads to report
-    :param times: returns answers and their seconds by server since the last call
     :param channels: gRPC channels
     """
 
     __slots__ = (
-        "age",
         "apply",
         "channels",
         "due_at",
         "entries",
         "has_binding_news",
         "is_connected",
-        "loads",
         "mark",
         "pause",
-        "prompt",
+        "report_due",
         "settings",
         "source",
         "sources",
         "streams",
         "term",
-        "times",
         "version",
     )
 
@@ -105,18 +92,12 @@
         seeds: Seeds,
         apply: Callable[[fleet_pb2.FleetUpdate, PublicationParts], None],
         version: Callable[[], int],
-        age: PublicationAge,
-        loads: KeyLoads,
-        times: Callable[[], dict[str, tuple[int, float]]],
         channels: RpcChannels,
     ) -> None:
         self.settings = settings
         self.sources = ControlSources(settings, seeds)
         self.apply = apply
         self.version = version
-        self.age = age
-        self.loads = loads
-        self.times = times
         self.channels = channels
         #: Address of the replica that sends updates, empty while none does.
         self.source = ""
@@ -131,7 +112,7 @@
         self.is_connected = True
         self.pause = LEAST_PAUSE
         #: Set when a report is due before its period ends.
-        self.prompt = asyncio.Event()
+        self.report_due = asyncio.Event()
         #: Streams by the task that reads them.
         self.streams: dict[asyncio.Task[str], ControlStream] = {}
         #: Reading of the loop's clock when another replica is asked.
@@ -233,48 +214,6 @@
             if stream.address not in kept:
                 task.cancel()
 
-    async def report(self) -> None:
-        """Report loads, and ask for the newest publication, until cancelled."""
-        while True:
-            await wait_until_set(self.prompt, REPORT_PERIOD)
-            is_prompt = self.prompt.is_set()
-            self.prompt.clear()
-            if not self.source:
-                continue
-            request = fleet_pb2.EntryReport(
-                entry=self.settings.name,
-                loads=self.loads.take(),
-                times=[
-                    fleet_pb2.ServerTime(
-                        identity=identity, answers=answers, milliseconds=round(seconds * 1000)
-                    )
-                    for identity, (answers, seconds) in self.times().items()
-                ],
-                term=self.term,
-                mark=self.mark,
-                is_prompt=is_prompt,
-            )
-            stub = fleet_pb2_grpc.FleetStub(self.channels.to(self.source))
-            asked_at = self.age.clock.now()
-            try:
-                response = await stub.Report(request, timeout=REPORT_TIMEOUT)
-            except grpc.aio.AioRpcError:
-                # The counts of one period only delay the balance; the watch logs a lost replica.
-                continue
-            known_at = asked_at - response.age_ms / 1000
-            self.age.heard(response.publication_version, known_at, self.version())
-            self._log_overdue()
-
-    def _log_overdue(self) -> None:
-        if not self.age.is_overdue:
-            return
-        awaited = self.age.awaited[0]
-        PUBLICATION_OVERDUE.log(
-            version=awaited.version,
-            in_force=self.version(),
-            seconds=round(self.age.clock.now() - awaited.heard_at, 3),
-        )
-
     async def _follow(self, address: str) -> str:
         """Take updates of a replica until it fails, or another one is to be followed.
 
@@ -332,7 +271,7 @@
             self.pause = LEAST_PAUSE
             self.sources.served()
             # The answer says whether the routes held here are still the newest.
-            self.prompt.set()
+            self.report_due.set()
         self._mark(update)
 
     def _mark(self, update: fleet_pb2.FleetUpdate) -> None:
@@ -345,7 +284,7 @@
         self.mark = update.mark
         if self.has_binding_news:
             self.has_binding_news = False
-            self.prompt.set()
+            self.report_due.set()
 
     def _lost(self, stream: ControlStream, cause: str) -> None:
         self.source = ""
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
@@ -12,7 +12,6 @@
 import grpc
 import pytest
 
-from medlarpass.ranges import KeyLoads
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
 from medlarpass_daemon.entry.fleet import control_sources
@@ -36,7 +35,7 @@
     settings: Any = SimpleNamespace(name="e", domain="north")
     seeds: Any = SimpleNamespace(addresses=[LEADER])
     nothing: Any = None
-    watcher = FleetWatcher(settings, seeds, nothing, lambda: 0, nothing, KeyLoads(), dict, nothing)
+    watcher = FleetWatcher(settings, seeds, nothing, lambda: 0, nothing)
     source = fleet_pb2.FleetSource(address=LEADER, domain="north")
     watcher.sources.take([LEADER], [source])
     asked: list[str] = []
@@ -110,10 +109,7 @@
         settings: Any = SimpleNamespace(name="e", domain="north")
         found: Any = SimpleNamespace(addresses=seeds)
         channels: Any = SimpleNamespace(to=lambda address: address)
-        nothing: Any = None
-        self.watcher = FleetWatcher(
-            settings, found, self.apply, lambda: 0, nothing, KeyLoads(), dict, channels
-        )
+        self.watcher = FleetWatcher(settings, found, self.apply, lambda: 0, channels)
         #: Replicas whose streams do not fit the routes that the entry has.
         self.unfit: list[ScriptedReplica] = []
         self.sources: list[str] = []
