Take the mark of an update after its publication at a relay

Read-through: a relay noted how far it follows before it read the part of a publication in the same update. A part that did not fit ended the stream, but the relay had already counted as following, so a confirmation could be given for entries that lacked the publication. The entry has this order since.

Result: test_a_relay_does_not_vouch_for_a_publication_that_does_not_fit failed before and passes; fleet tests of control and entry and the documents: 129 passed.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_keeper.py
@@ -166,13 +166,14 @@
         self, update: fleet_pb2.FleetUpdate, ranges: RelayedRanges, parts: PublicationParts
     ) -> None:
         feed = self.fleet.feed
-        feed.take_head(update.term, update.entries, update.mark)
-        if update.sources:
-            feed.take_sources(list(update.controls), list(update.sources))
+        # The mark says that all of an update is here, and a part that does not fit ends the stream.
         if update.HasField("publication"):
             document = parts.take(update.publication, feed.publications.document)
             if document is not None:
                 feed.take_publication(document)
+        feed.take_head(update.term, update.entries, update.mark)
+        if update.sources:
+            feed.take_sources(list(update.controls), list(update.sources))
         if update.is_whole or update.servers or update.gone:
             servers = {} if update.is_whole else dict(feed.servers.present)
             for identity in update.gone:
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import pytest
+
 from medlarpass import ManualClock
 from medlarpass.ranges import RangeAssignment
 from medlarpass.rpc import control_pb2
@@ -22,13 +24,12 @@
 from medlarpass_daemon.control.fleet.report_relay import ReportRelay
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
 from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
+from medlarpass_daemon.exceptions import PublicationGapError
 from medlarpass_daemon.publication_parts import PublicationParts
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    import pytest
-
 ENTRIES = 190
 #: Bytes of an update that reaches an entry within 0.2 s on a link of 2 Mbit/s that carries as much
 #: again.
@@ -402,3 +403,14 @@
     assert 250 <= answer.age_ms <= 252
     world.clock.advance(90 * 24 * 3600)
     assert not (await relay.Report(report, None)).publication_version
+
+
+async def test_a_relay_does_not_vouch_for_a_publication_that_does_not_fit(new_world: Any) -> None:
+    """Guards against a confirmation that counts a relay without the publication as following."""
+    feed = service_of(new_world(1)).feed
+    update = fleet_pb2.FleetUpdate(
+        term=3, mark=9, publication=fleet_pb2.PackedPublication(version=7, base=6, parts=1)
+    )
+    with pytest.raises(PublicationGapError):
+        feed._take(update, RelayedRanges(), PublicationParts())
+    assert (feed.fleet.feed.term, feed.fleet.feed.mark) == (0, 0)
