Drop a second way to put a publication in force at an entry

Read-through: since publications come in parts, only tests called FleetRouting.offer. They bring theirs in parts as control does; their assertions stay. Behaviour stays.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 
 from typing import TYPE_CHECKING
@@ -20,7 +19,6 @@
     from typing import Any
 
     from medlarpass.publication import PublishedPool
-    from medlarpass.rpc import control_pb2
     from medlarpass.rpc import fleet_pb2
     from medlarpass.tables import Pool
     from medlarpass.tables import Route
@@ -98,13 +96,6 @@
         choice = self.choices.get(route.name)
         return self.pools[choice.next() if choice is not None else route.pool]
 
-    def offer(self, message: control_pb2.Publish) -> bool:
-        """Put a publication in force if it is newer, and return whether it was."""
-        if message.version <= self.revision:
-            return False
-        self._put(json.loads(message.document))
-        return True
-
     def take(self, part: fleet_pb2.PackedPublication, parts: PublicationParts) -> bool:
         """Take a part of a newer publication, and return whether that is in force now.
 
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_routing.py
@@ -16,6 +16,7 @@
 from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
 from medlarpass_daemon.exceptions import PublicationGapError
 from medlarpass_daemon.publication_parts import PublicationParts
+from medlarpass_daemon.publication_parts import packed
 
 
 def routing_of() -> FleetRouting:
@@ -23,6 +24,12 @@
     return FleetRouting(PublicationAge(ManualClock(), 2.0))
 
 
+def offer(routing: FleetRouting, message: control_pb2.Publish) -> bool:
+    """Bring a whole publication to an entry, and return whether it is in force now."""
+    (part,) = packed(message.version, message.document)
+    return routing.take(part, PublicationParts())
+
+
 def publication(version: int, weights: dict[str, float]) -> control_pb2.Publish:
     """Return a publication with one route."""
     document: dict[str, Any] = {
@@ -56,8 +63,8 @@
 def test_an_older_version_never_returns() -> None:
     """Guards against an entry that goes back when it hears a replica that is behind."""
     routing = routing_of()
-    assert routing.offer(publication(7, {"new": 1}))
-    assert not routing.offer(publication(6, {"old": 1}))
+    assert offer(routing, publication(7, {"new": 1}))
+    assert not offer(routing, publication(6, {"old": 1}))
     assert routing.revision == 7
     assert list(routing.pools) == ["new"]
 
@@ -68,7 +75,7 @@
 def test_each_pool_gets_its_share(weights: dict[str, float]) -> None:
     """Guards against shares that are off by chance over a few hundred requests."""
     routing = routing_of()
-    routing.offer(publication(1, weights))
+    offer(routing, publication(1, weights))
     route = routing.matcher.find("art.example", "/art/7", "GET")
     counts = Counter(routing.pool_of(route).name for _ in range(200))
     total = sum(weights.values())
@@ -81,7 +88,7 @@
     routing = routing_of()
     counts: Counter[str] = Counter()
     for version in range(1, 201):
-        routing.offer(publication(version, {"a": 50, "b": 50}))
+        offer(routing, publication(version, {"a": 50, "b": 50}))
         route = routing.matcher.find("art.example", "/art/7", "GET")
         counts[routing.pool_of(route).name] += 1
     assert counts["a"] == counts["b"] == 100
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_publication_age.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_publication_age.py
@@ -8,11 +8,12 @@
 import pytest
 
 from medlarpass import ManualClock
-from medlarpass.rpc import control_pb2
 from medlarpass.tables import RouteNotFoundError
 from medlarpass_daemon.entry.callers.exceptions import RoutesUnknownError
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
 from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
+from medlarpass_daemon.publication_parts import PublicationParts
+from medlarpass_daemon.publication_parts import packed
 
 #: Seconds after a confirmation within which entries have to follow.
 WITHIN = 2.0
@@ -47,7 +48,8 @@
             "limits": {},
         }
         text = json.dumps(document).encode()
-        self.routing.offer(control_pb2.Publish(version=version, document=text))
+        (part,) = packed(version, text)
+        self.routing.take(part, PublicationParts())
 
     def hear(self, version: int, known_at: float) -> None:
         self.age.heard(version, known_at, self.routing.revision)
