--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -247,6 +247,10 @@
             return web.Response(status=421, headers={**echo, "Medlarpass-Not-Executed": "1"})
         await request.read()
         async with self.free_slots:
+            if self.sharded and not self.holds(key):
+                # The keys were released while the request waited for a slot.
+                self.record.add("rejected", worker=self.identity, id=attempt)
+                return web.Response(status=421, headers={**echo, "Medlarpass-Not-Executed": "1"})
             self.record.add("run", worker=self.identity, id=attempt, key=key)
             self.record.runs.append(attempt)
             self.running.append(key)
