--- a/review/1/case.py
+++ b/review/1/case.py
@@ -106,4 +106,4 @@
         await asyncio.sleep(generator.uniform(0.0, 0.02))
 
 
-main(play, Path(__file__).resolve().parent, entries=6)
+main(play, Path(__file__).resolve().parent, entries=9)
