--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,12 +8,12 @@
 from collections import Counter
 from pathlib import Path
 
-from review.standins.case import Case
-from review.standins.case import main
-from review.standins.clients import config
-from review.standins.clients import route
-from review.standins.shedding_worker import SheddingWorker
-from review.standins.worker import Worker
+from review.clients import config
+from review.clients import route
+from review.frame import Case
+from review.frame import main
+from review.shedding_worker import SheddingWorker
+from review.worker import Worker
 
 WORKERS = 8
 #: Requesters at each entry; each sends one order after the other.
@@ -86,12 +86,12 @@
 
 
 def violations(answers: dict[str, int], runs: Counter[str]) -> list[str]:
-    """Return the orders that ran although their answer promises otherwise, or ran twice."""
+    """Return the orders that ran although their answer promises otherwise."""
     return [
         f"order {attempt} was answered {status} and has run"
         for attempt, status in answers.items()
         if status in PROMISES and runs[attempt]
-    ] + [f"order {attempt} has run {count} times" for attempt, count in runs.items() if count > 1]
+    ]
 
 
 async def send_orders(case: Case, number: int, answers: dict[str, int]) -> None:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,11 +7,11 @@
 
 from pathlib import Path
 
-from review.standins.case import Case
-from review.standins.case import main
-from review.standins.clients import OwnerCheck
-from review.standins.clients import config
-from review.standins.worker import Worker
+from review.clients import OwnerCheck
+from review.clients import config
+from review.frame import Case
+from review.frame import main
+from review.worker import Worker
 
 #: Spread over all workers.
 KEYS = tuple(range(0, 65_536, 8_192))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,11 +7,11 @@
 
 from pathlib import Path
 
-from review.standins.case import Case
-from review.standins.case import main
-from review.standins.clients import config
-from review.standins.deployment import BOUNDS
-from review.standins.worker import Worker
+from review.clients import config
+from review.deployment import BOUNDS
+from review.frame import Case
+from review.frame import main
+from review.worker import Worker
 
 WORKERS = 7
 #: How long the worker serves after the confirmation that it drains.
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,9 +4,9 @@
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps:. python3 -m compileall -q review
 PYTHONPATH=target/deps:. python3 -c "
-import review.standins.case
-import review.standins.clients
-import review.standins.extra_answer_worker
-import review.standins.shedding_worker
-import review.standins.worker
+import review.frame
+import review.clients
+import review.extra_answer_worker
+import review.shedding_worker
+import review.worker
 "
--- a/review/standins/clients.py
+++ b/review/clients.py
@@ -12,10 +12,10 @@
 import aiohttp
 
 if TYPE_CHECKING:
-    from review.standins.deployment import Deployment
-    from review.standins.deployment import Machine
-    from review.standins.record import Record
-    from review.standins.worker import Worker
+    from review.deployment import Deployment
+    from review.deployment import Machine
+    from review.record import Record
+    from review.worker import Worker
 
 HOST = "rolls.example"
 LIMITS = {
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import random
 import re
@@ -19,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SETTINGS_PATH = "/etc/medlarpass/settings.conf"
 BOUNDS = {
     "seed_lag_s": 3,
@@ -216,15 +215,3 @@
                 machine.process.send_signal(signal.SIGCONT)
                 machine.process.kill()
             await machine.process.wait()
-
-    def log_lines(self, machine: Machine, event: str) -> list[dict[str, Any]]:
-        """Return the log lines of a process with one event."""
-        file = self.folder / f"{machine.name}.out"
-        found = []
-        for line in file.read_text(encoding="utf-8", errors="replace").splitlines():
-            if event in line:
-                try:
-                    found.append(json.loads(line))
-                except ValueError:
-                    continue
-        return found
--- a/review/standins/extra_answer_worker.py
+++ b/review/extra_answer_worker.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from review.standins.worker import Worker
+from review.worker import Worker
 
 if TYPE_CHECKING:
     import asyncio
--- a/review/standins/case.py
+++ b/review/frame.py
@@ -15,9 +15,9 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from review.standins.clients import Clients
-from review.standins.deployment import Deployment
-from review.standins.record import Record
+from review.clients import Clients
+from review.deployment import Deployment
+from review.record import Record
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/review/standins/record.py
+++ b/review/record.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from review.standins.worker import Worker
+    from review.worker import Worker
 
 
 class Record:
@@ -20,7 +20,7 @@
     def __init__(self, file: Path) -> None:
         self.started_at = time.monotonic()
         self.file = file.open("w", encoding="utf-8")
-        #: Time, worker and id of each request that reached a worker.
+        #: Time, worker and id of each request that reached a worker and didn't get 421 there.
         self.arrivals: list[tuple[float, Worker, str]] = []
         #: Ids of the requests at which a worker began to work, once for each time.
         self.runs: list[str] = []
@@ -33,5 +33,5 @@
         self.file.flush()
 
     def arrived(self, worker: Worker, attempt: str) -> None:
-        """Note that a request has reached a worker."""
+        """Note that a request has reached a worker that doesn't reject it with 421."""
         self.arrivals.append((time.monotonic(), worker, attempt))
--- a/review/standins/shedding_worker.py
+++ b/review/shedding_worker.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from review.standins.worker import Worker
+from review.worker import Worker
 
 if TYPE_CHECKING:
     import asyncio
--- a/review/standins/worker.py
+++ b/review/worker.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from review.standins.deployment import Deployment
-    from review.standins.record import Record
+    from review.deployment import Deployment
+    from review.record import Record
 
 #: Time in which a heartbeat has to be confirmed before the next node is called.
 CONFIRM_TIMEOUT_S = 1.0
@@ -241,10 +241,10 @@
         attempt = request.headers.get("Medlarpass-Attempt-Id", "")
         echo = {"Medlarpass-Attempt-Id": attempt}
         key = int(request.headers.get("Medlarpass-Shard-Key", "0"))
-        self.record.arrived(self, attempt)
         if self._is_misdirected(request) or (self.sharded and not self.holds(key)):
             self.record.add("rejected", worker=self.identity, id=attempt)
             return web.Response(status=421, headers={**echo, "Medlarpass-Not-Executed": "1"})
+        self.record.arrived(self, attempt)
         await request.read()
         async with self.free_slots:
             if self.sharded and not self.holds(key):
