--- a/review/shedding_worker.py
+++ b/review/shedding_worker.py
@@ -55,7 +55,9 @@
         else:
             response = await super().handle_request(request)  # type: ignore[assignment]
         self.answers += 1
-        if self.random.random() < EXTRA_SHARE:
+        copies = self.extra_answers + len(self.late_copies)
+        is_within_share = copies + 1 <= EXTRA_SHARE * self.answers
+        if is_within_share and self.random.random() < EXTRA_SHARE:
             self.late_copies[transport] = (attempt, on_the_wire(response))
         return response
 
