Log how late the loop, the calls and the writes of control are

Change: control measures the lag of its event loop (1009, and the metric medlarpass_event_loop_lag_seconds), the leader logs slow calls to other replicas (2015), the log slow writes (2032); an election says how long the leader was silent (2010), and a leader that steps down when it last heard each replica (2013). No logic changes.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
@@ -30,6 +30,7 @@
 from medlarpass_daemon.control.replication_service import ReplicationService
 from medlarpass_daemon.control.status_poller import StatusPoller
 from medlarpass_daemon.control.wall_clock import WallClock
+from medlarpass_daemon.observability import LoopMonitor
 from medlarpass_daemon.supervision import supervise
 
 if TYPE_CHECKING:
@@ -68,6 +69,7 @@
         "fleet",
         "listener",
         "log",
+        "loop_monitor",
         "membership_manager",
         "operators_server",
         "poller",
@@ -101,6 +103,7 @@
         self.delegator = Delegator(self.log, clock)
         self.configuration_reports = ConfigurationReports(clock)
         self.poller = StatusPoller(self.replica, channels, metrics)
+        self.loop_monitor = LoopMonitor(metrics, clock)
         backend = OperatorsBackend(self.log, self.poller, channels, clock)
         self.operators_server = OperatorsServer(settings, backend, clock)
         self.membership_manager: MembershipManager | None = None
@@ -160,7 +163,10 @@
         """Start the replica; the gRPC server must be serving."""
         await self._bootstrap_on_first_start()
         await self.replica.start()
-        background_tasks = {"status poller": self.poller.run}
+        background_tasks = {
+            "status poller": self.poller.run,
+            "loop monitor": self.loop_monitor.run,
+        }
         if self.range_keeper is not None and self.membership_manager is not None:
             background_tasks["range keeper"] = self.range_keeper.run
             background_tasks["membership"] = self.membership_manager.run
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/observability/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/observability/metrics.py
@@ -44,6 +44,7 @@
         "grant_changes",
         "imbalance",
         "log_lines_dropped",
+        "loop_lag",
         "ready",
         "registry",
         "replication_lag",
@@ -106,6 +107,11 @@
             "configuration_revision", "Revision of the configuration in force here"
         )
         self.ready = self._gauge("ready", "1 when the process is ready")
+        self.loop_lag = self._histogram(
+            "event_loop_lag_seconds",
+            "How late a timer of the event loop ran",
+            UNAVAILABLE_BUCKETS_SECONDS,
+        )
         self.log_lines_dropped = self._counter("log_lines_dropped", "Log lines that were lost")
 
     def _gauge(self, name: str, description: str, *labels: str) -> Gauge:
--- a/packages/medlarpass/src/medlarpass/replication/election.py
+++ b/packages/medlarpass/src/medlarpass/replication/election.py
@@ -72,7 +72,12 @@
                 return
             state.role = Role.CANDIDATE
             state.leader_id = None
-            events.ELECTION_STARTED.log(identity=state.identity, term=term)
+            events.ELECTION_STARTED.log(
+                identity=state.identity,
+                term=term,
+                leader_silent_for=state.leader_silence(),
+                transfer=transfer,
+            )
             await state.save_vote(term, state.identity)
             state.role = Role.CANDIDATE
         if not await self._wins_vote_round(term, pre_vote=False, transfer=transfer):
--- a/packages/medlarpass/src/medlarpass/replication/leadership.py
+++ b/packages/medlarpass/src/medlarpass/replication/leadership.py
@@ -227,11 +227,21 @@
             if self.elected_at < window_start and not self._has_majority(
                 lambda peer: peer.acked_at >= window_start  # noqa: B023
             ):
-                events.QUORUM_LOST.log(identity=self.state.identity, term=self.term)
+                events.QUORUM_LOST.log(
+                    identity=self.state.identity, term=self.term, silent_for=self._silence()
+                )
                 self.state.step_down()
                 return
             self._promote_learner(window_start)
 
+    def _silence(self) -> dict[str, float]:
+        """Return the seconds since the last response of each peer, or since the election."""
+        now = self.state.clock.now()
+        return {
+            replica: round(now - max(peer.acked_at, self.elected_at), 3)
+            for replica, peer in self.peers.items()
+        }
+
     def _promote_learner(self, window_start: float) -> None:
         state = self.state
         if max(state.membership_history.index, self.start_index) > state.commit_index:
--- a/packages/medlarpass/src/medlarpass/replication/log_store.py
+++ b/packages/medlarpass/src/medlarpass/replication/log_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,8 @@
     from pathlib import Path
 
 SEGMENT_SUFFIX = ".log"
+#: Time of a write above which it is logged; an election timeout is not much longer.
+SLOW_WRITE_SECONDS = 0.25
 
 
 class LogStore:
@@ -214,6 +217,7 @@
         while self.pending_records and self.failure is None:
             async with self.file_lock:
                 batch, self.pending_records = self.pending_records, []
+                started_at = time.monotonic()
                 try:
                     await self._run_in_thread(
                         "append to log",
@@ -223,6 +227,9 @@
                     return
                 self.durable_index = batch[-1].index
                 self.durable_changed.notify()
+                seconds = time.monotonic() - started_at
+                if seconds >= SLOW_WRITE_SECONDS:
+                    events.LOG_WRITE_SLOW.log(records=len(batch), seconds=round(seconds, 3))
 
     def _path(self, first: int) -> Path:
         return self.folder / f"{first:020d}{SEGMENT_SUFFIX}"
--- a/packages/medlarpass/src/medlarpass/replication/peer.py
+++ b/packages/medlarpass/src/medlarpass/replication/peer.py
@@ -118,13 +118,16 @@
 
     async def _send_append(self, request: AppendRequest) -> AppendResponse | None:
         quorum_round = self.leadership.quorum_round
+        sent_at = self.state.clock.now()
         try:
             # asyncio.wait_for in Python 3.11 swallows a cancellation if the call has just finished.
             async with asyncio.timeout(self.state.settings.call_timeout):
                 response = await self.state.transport.append(self.member, request)
-        except Exception:
+        except Exception as error:
             # The transport defines its own errors; any of them counts as a lost call.
+            self._log_if_slow(request, sent_at, type(error).__name__)
             return None
+        self._log_if_slow(request, sent_at, "")
         if not self._is_current_term(response.term):
             return None
         self.acked_round = max(self.acked_round, quorum_round)
@@ -132,6 +135,17 @@
         self.state.changed.notify()
         return response
 
+    def _log_if_slow(self, request: AppendRequest, sent_at: float, error: str) -> None:
+        seconds = self.state.clock.now() - sent_at
+        if seconds >= self.state.settings.election_timeout_min:
+            events.APPEND_SLOW.log(
+                receiver=self.member.replica,
+                term=request.term,
+                records=len(request.entries),
+                seconds=round(seconds, 3),
+                error=error,
+            )
+
     def _is_current_term(self, term: int) -> bool:
         if term > self.leadership.term:
             self.state.spawn(self.state.observe_term(term))
--- a/packages/medlarpass/src/medlarpass/replication/state.py
+++ b/packages/medlarpass/src/medlarpass/replication/state.py
@@ -126,6 +126,12 @@
         """Address of the leader, if known."""
         return None if self.leader is None else self.leader.address
 
+    def leader_silence(self) -> float | None:
+        """Return the seconds since the last call from a leader; None before the first."""
+        if self.leader_contact_at == float("-inf"):
+            return None
+        return round(self.clock.now() - self.leader_contact_at, 3)
+
     def check_running(self) -> None:
         """Raise an error unless the replica is running.
 
