--- a/tools/soak/fleet_system.py
+++ b/tools/soak/fleet_system.py
@@ -11,6 +11,7 @@
 import time
 
 from collections import Counter
+from ipaddress import ip_address
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
@@ -34,9 +35,10 @@
     ROOT / "packages/medlarpass-daemon/src",
     ROOT / "platform",
 ]
-#: IP addresses of the control replicas; the gRPC port is the same on all of them.
-CONTROL_IPS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
-ENTRY_IPS = ("127.0.0.21", "127.0.0.22", "127.0.0.23")
+#: First IP addresses of the control replicas and of the entries; the others follow. The gRPC port
+#: is the same on all of them.
+FIRST_CONTROL_IP = ip_address("127.0.0.11")
+FIRST_ENTRY_IP = ip_address("127.0.1.21")
 #: Far above the time that any awaited condition takes.
 CONDITION_TIMEOUT_SECONDS = 60.0
 #: Overlap of two leases for the same keys that is tolerated while a call is in transit.
@@ -59,21 +61,34 @@
 
 
 class FleetSystem:
-    """Three control replicas and a number of entries.
+    """A number of control replicas and entries.
 
     :param folder: empty folder
     :param entries: number of entries
     :param relays: relays between the processes and to the servers, for injecting network faults
+    :param controls: number of control replicas
     """
 
-    def __init__(self, folder: Path, entries: int = 1, relays: RelayNetwork | None = None) -> None:
+    #: Interval between the heartbeats of a server.
+    heartbeat_seconds = 0.3
+
+    def __init__(
+        self,
+        folder: Path,
+        entries: int = 1,
+        relays: RelayNetwork | None = None,
+        controls: int = 3,
+    ) -> None:
         self.folder = folder
         self.relays = relays
-        self.addresses = {f"control-{number}": ip for number, ip in enumerate(CONTROL_IPS)}
+        self.control_ips = [str(FIRST_CONTROL_IP + number) for number in range(controls)]
+        self.addresses = {f"control-{number}": ip for number, ip in enumerate(self.control_ips)}
         entry_names = (
             ["entry"] if entries == 1 else [f"entry-{number}" for number in range(entries)]
         )
-        self.addresses |= dict(zip(entry_names, ENTRY_IPS, strict=False))
+        self.addresses |= {
+            name: str(FIRST_ENTRY_IP + number) for number, name in enumerate(entry_names)
+        }
         all_ips = list(self.addresses.values())
         ports = ("rpc", "control", "platform", "operators", "front")
         self.ports = {name: free_port(all_ips) for name in ports}
@@ -116,9 +131,9 @@
             "security": {"between_processes": {"mode": "unauthenticated"}},
             "fleet": {
                 "adapter": "medlarpass_platform",
-                "seeds": [f"{ip}:{self.ports['control']}" for ip in CONTROL_IPS],
+                "seeds": [f"{ip}:{self.ports['control']}" for ip in self.control_ips],
                 "first_start": first_start,
-                "heartbeat": "300ms",
+                "heartbeat": f"{round(self.heartbeat_seconds * 1000)}ms",
                 "hold": "3s",
             },
             "log": {"file": str(self.folder / f"{name}.log")},
@@ -246,7 +261,7 @@
         """Call control, trying its replicas in turn; the status is 0 when none responds."""
         assert self.session is not None
         data = json.dumps(body).encode()
-        for ip in CONTROL_IPS:
+        for ip in self.control_ips:
             url = f"http://{ip}:{self.ports['control']}/api/rpc?call={call}"
             timeout = aiohttp.ClientTimeout(total=2)
             try:
@@ -266,6 +281,10 @@
 
     async def publish_once(self, version: int, **timeouts: float) -> tuple[int, str]:
         """Send a publication once."""
+        return await self.call_control("config.put", self.configuration(version, **timeouts))
+
+    def configuration(self, version: int, **timeouts: float) -> dict[str, Any]:
+        """Return a publication with a route for each kind of request."""
         request_types = {"stock": "safe", "orders": "unsafe", "art": "download"}
         pool_names = {"bookings": "stock"}
         routes = [
@@ -286,8 +305,7 @@
             {"name": pool_name, "max_connections": 100, "sharded": pool_name == "stock"}
             for pool_name in request_types
         ]
-        body = {"version": f"r{version}", "routes": routes, "upstreams": pools, "limits": {}}
-        return await self.call_control("config.put", body)
+        return {"version": f"r{version}", "routes": routes, "upstreams": pools, "limits": {}}
 
     async def send_request(
         self, path: str, method: str = "GET", key: int = 0, **options: Any
--- a/tools/soak/stand_in_server.py
+++ b/tools/soak/stand_in_server.py
@@ -14,7 +14,6 @@
 
     from tools.soak.fleet_system import FleetSystem
 
-HEARTBEAT_INTERVAL_SECONDS = 0.3
 #: Ratio of requests that a faulty server refuses, and of these refusals that it sends twice.
 SHED_RATIO = 0.1
 COPIED_REFUSAL_RATIO = 0.2
@@ -94,8 +93,10 @@
         self.pauses: list[Pause] = []
         #: Time of the first response that said that the server leaves, by entry.
         self.said_leaving_at: dict[str, float] = {}
-        #: Times at which requests arrived, on the monotonic clock.
+        #: Times at which requests arrived, on the monotonic clock, and their ids.
         self.arrivals: list[float] = []
+        self.arrived_requests: list[str] = []
+        self.zone = "north"
         #: Whether it asks for pauses when it refuses requests by itself.
         self.has_pauses = False
         #: Source of the server's own faults; None for a server without any.
@@ -150,7 +151,7 @@
             await asyncio.sleep(self.faults.uniform(0.0, MAX_FIRST_HEARTBEAT_DELAY_SECONDS))
         while True:
             await self.send_heartbeat()
-            await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
+            await asyncio.sleep(self.system.heartbeat_seconds)
 
     async def send_heartbeat(self) -> bool:
         """Send one heartbeat and return whether it was confirmed."""
@@ -158,7 +159,7 @@
         body = {
             "upstream": self.pool,
             "address": self.announced_address,
-            "zone": "north",
+            "zone": self.zone,
             "version": "v1",
             "slots": 3,
             "state": self.state,
@@ -278,6 +279,7 @@
         """Record a violation if a request must not arrive now from an entry."""
         now = time.monotonic()
         self.arrivals.append(now)
+        self.arrived_requests.append(request_id)
         for pause in self.pauses:
             if pause.entry != entry or not pause.begin + PAUSE_NOTICE_SECONDS < now < pause.end:
                 continue
