Bound the work of one assignment and of one step by the ranges

Cause: a new range visited all ranges of its pool, in the command that every replica applies, and a step of the leader compared each range with each that was moving, leaving or free. With 600 ranges one pass took 0.05 to 0.13 s of processor time; control at a tenth of a processor stood still for up to 1.5 s, longer than an election timeout, and the next leader did the same. Change: ranges and moves are found by bisection; leaving ranges are compared by fence. The result of each command is the same.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -12,8 +12,10 @@
 from medlarpass.fleet import ServerHeartbeat
 from medlarpass.publication import Publication
 from medlarpass.publication import decompress_document
+from medlarpass.ranges import KeyIntervals
 from medlarpass.ranges import PoolLoads
 from medlarpass.ranges import ServerSpeeds
+from medlarpass.ranges import parts_outside
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet.fleet_feed import FleetFeed
 from medlarpass_daemon.control.fleet.watchers import REACHABILITY_SECONDS
@@ -73,7 +75,7 @@
         #: Fences of the assignments that their servers have confirmed.
         self.confirmed_fences: set[int] = set()
         #: First and last keys of the moves in progress, by pool.
-        self.moving: dict[str, set[tuple[int, int]]] = {}
+        self.moving: dict[str, KeyIntervals] = {}
         #: Entries and relays that watch this replica.
         self.watchers = Watchers(clock)
         #: Term in which this replica manages the ranges; 0 while it does not lead.
@@ -220,17 +222,13 @@
 
     def overlaps_moving(self, pool: str, first: int, last: int) -> bool:
         """Return whether any of the keys is being moved."""
-        return any(
-            first_moving <= last and first <= last_moving
-            for first_moving, last_moving in self.moving.get(pool, ())
-        )
+        moving = self.moving.get(pool)
+        return moving is not None and moving.overlaps(first, last)
 
     def parts_not_moving(self, assignment: RangeAssignment) -> list[RangeAssignment]:
         """Return the parts of an assignment that are not being moved to another server."""
-        parts = [assignment]
-        for first_moving, last_moving in self.moving.get(assignment.pool, ()):
-            parts = [rest for part in parts for rest in part.without(first_moving, last_moving)]
-        return parts
+        moving = self.moving.get(assignment.pool)
+        return [assignment] if moving is None else parts_outside(assignment, moving)
 
     def ranges(self) -> list[fleet_pb2.FleetRange]:
         """Return all ranges with their phases."""
@@ -246,10 +244,10 @@
     ) -> Iterable[tuple[RangeAssignment, fleet_pb2.RangePhase]]:
         phase = HELD if assignment.fence in self.confirmed_fences else MOVING
         yield from ((part, phase) for part in self.parts_not_moving(assignment))
-        for first_moving, last_moving in self.moving.get(assignment.pool, ()):
-            if assignment.overlaps(first_moving, last_moving):
-                first, last = max(first_moving, assignment.first), min(last_moving, assignment.last)
-                yield assignment.with_bounds(first, last), MOVING
+        moving = self.moving.get(assignment.pool, KeyIntervals())
+        for first_moving, last_moving in moving.overlapping(assignment.first, assignment.last):
+            first, last = max(first_moving, assignment.first), min(last_moving, assignment.last)
+            yield assignment.with_bounds(first, last), MOVING
 
     def _range_message(
         self,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -6,6 +6,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.ranges import KeyIntervals
 from medlarpass.ranges import PlannerServer
 from medlarpass.ranges import RangeAssignment
 from medlarpass.ranges import RangePlanner
@@ -165,11 +166,15 @@
             return
         self._move_from_leaving(pool, assigned, servers)
         free = self._free_keys(pool, assigned)
-        if free and servers:
-            rest = [assignment for assignment in assigned if not _covers(free, assignment)]
+        if free.firsts and servers:
+            rest = [
+                assignment
+                for assignment in assigned
+                if not free.covers(assignment.first, assignment.last)
+            ]
             planner = RangePlanner(pool, self.fleet.loads_of(pool).steady)
             from_moves = self.moves.free_keys(pool)
-            await self.grants.assign(planner.assign_free(free, rest, servers))
+            await self.grants.assign(planner.assign_free(free.all(), rest, servers))
             # Until the log has the new owner, a renewal could reach the old one.
             self.moves.finish(from_moves)
             return
@@ -215,7 +220,7 @@
             or self.grants.is_failing(member.heartbeat.identity, member.heartbeat.incarnation)
         )
 
-    def _free_keys(self, pool: str, assigned: list[RangeAssignment]) -> list[tuple[int, int]]:
+    def _free_keys(self, pool: str, assigned: list[RangeAssignment]) -> KeyIntervals:
         """Return the keys that certainly have no owner."""
         free = unassigned_ranges(assigned)
         for assignment in assigned:
@@ -231,7 +236,7 @@
                 continue
             free.extend((part.first, part.last) for part in self.fleet.parts_not_moving(assignment))
         free.extend(key[1:] for key in self.moves.free_keys(pool))
-        return sorted(free)
+        return KeyIntervals(free)
 
     def _move_from_leaving(
         self, pool: str, assigned: list[RangeAssignment], servers: list[PlannerServer]
@@ -251,7 +256,8 @@
         if not parts or not servers:
             return
         planner = RangePlanner(pool, self.fleet.loads_of(pool).steady)
-        rest = [assignment for assignment in assigned if assignment not in leaving]
+        leaving_fences = {assignment.fence for assignment in leaving}
+        rest = [assignment for assignment in assigned if assignment.fence not in leaving_fences]
         free = [(part.first, part.last) for part in parts]
         for target in planner.assign_free(free, rest, servers):
             self.moves.start(assigned, target)
@@ -273,7 +279,3 @@
 
 def _weight(heartbeat: ServerHeartbeat) -> float:
     return heartbeat.slots * (WARMUP_WEIGHT_RATIO if heartbeat.warmup_seconds else 1.0)
-
-
-def _covers(free: list[tuple[int, int]], assignment: RangeAssignment) -> bool:
-    return any(first <= assignment.first and assignment.last <= last for first, last in free)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_moves.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_moves.py
@@ -8,7 +8,9 @@
 from typing import TYPE_CHECKING
 
 from medlarpass import MedlarpassError
+from medlarpass.ranges import KeyIntervals
 from medlarpass.ranges import apply_moves
+from medlarpass.ranges import overlapping
 from medlarpass_daemon.control.fleet import events
 from medlarpass_daemon.control.fleet.exceptions import ServerCallError
 
@@ -65,11 +67,13 @@
         self.fleet.moving.clear()
 
     def start(self, assigned: list[RangeAssignment], target: RangeAssignment) -> None:
-        """Start to move keys, with one task per current owner."""
-        for source in assigned:
-            if source.overlaps(target.first, target.last):
-                first, last = max(source.first, target.first), min(source.last, target.last)
-                self._start_move(source, target.with_bounds(first, last))
+        """Start to move keys, with one task per current owner.
+
+        :param assigned: ranges of the pool, sorted by key
+        """
+        for source in assigned[overlapping(assigned, target.first, target.last)]:
+            first, last = max(source.first, target.first), min(source.last, target.last)
+            self._start_move(source, target.with_bounds(first, last))
         self.fleet.ranges_changed()
 
     def ranges_after_moves(
@@ -125,7 +129,7 @@
             self.grants.refence(source)
             return
         key = (source.pool, target.first, target.last)
-        self.fleet.moving.setdefault(source.pool, set()).add(key[1:])
+        self.fleet.moving.setdefault(source.pool, KeyIntervals()).add(target.first, target.last)
         self.targets[key] = target
         events.RANGE_MOVING.log(
             pool=source.pool,
@@ -176,5 +180,7 @@
         self.tasks.pop(key, None)
 
     def _unmark_moving(self, key: MoveKey) -> None:
-        self.fleet.moving.get(key[0], set()).discard(key[1:])
+        moving = self.fleet.moving.get(key[0])
+        if moving is not None:
+            moving.discard(key[1], key[2])
         self.targets.pop(key, None)
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 
 from typing import Any
 
 import pytest
 
+from medlarpass.ranges import KEY_COUNT
 from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
 
@@ -464,3 +466,56 @@
         server.is_unreachable = False
     await simulation.run(4 * GRANT_LEASE_SECONDS)
     assert simulation.count_unowned() == 0
+
+
+def divide_keys(simulation: Any, count: int) -> None:
+    """Divide the keys into ranges that are assigned to the servers in turn."""
+    size = KEY_COUNT // count
+    names = list(simulation.servers)
+    assignments = [
+        control_pb2.RangeAssignment(
+            pool="stock",
+            first=number * size,
+            last=KEY_COUNT - 1 if number == count - 1 else (number + 1) * size - 1,
+            identity=names[number % len(names)],
+            life=1,
+        )
+        for number in range(count)
+    ]
+    simulation.state.ranges.assign(control_pb2.AssignRanges(assignments=assignments))
+
+
+async def count_calls_of_step(simulation: Any) -> int:
+    """Return the number of function calls in one step of the keeper."""
+    calls = 0
+
+    def count(frame: object, event: str, argument: object) -> None:
+        nonlocal calls
+        calls += event == "call"
+
+    sys.setprofile(count)
+    try:
+        await simulation.keeper.step()
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
+async def test_the_work_of_a_step_is_in_proportion_to_the_ranges(new_simulation: Any) -> None:
+    """Guards against a leader that stands still in one step for longer than an election timeout.
+
+    With hundreds of ranges and a part of the servers restarted, a step compared each range with
+    each that had to move, and the followers elected another leader, which did the same.
+    """
+    calls = []
+    for count in (100, 400):
+        simulation = new_simulation(8)
+        divide_keys(simulation, count)
+        simulation.change_leader()
+        await simulation.step()
+        for name in ("s0", "s1", "s2"):
+            simulation.servers[name].restart()
+            simulation.fleet.directory.record_heartbeat(simulation.servers[name].heartbeat())
+        calls.append(await count_calls_of_step(simulation))
+        simulation.keeper.grants.stop()
+    assert calls[1] < 6 * calls[0]
--- a/packages/medlarpass/src/medlarpass/ranges/__init__.py
+++ b/packages/medlarpass/src/medlarpass/ranges/__init__.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from medlarpass.ranges.grant_expiry_tracker import GrantExpiryTracker
+from medlarpass.ranges.key_intervals import KeyIntervals
 from medlarpass.ranges.key_loads import KeyLoads
 from medlarpass.ranges.pool_loads import PoolLoads
 from medlarpass.ranges.pool_ranges import PoolRanges
 from medlarpass.ranges.range_assignment import KEY_COUNT
 from medlarpass.ranges.range_assignment import RangeAssignment
+from medlarpass.ranges.range_assignment import overlapping
+from medlarpass.ranges.range_assignment import parts_outside
 from medlarpass.ranges.range_loads import RangeLoads
 from medlarpass.ranges.range_planner import PlannerServer
 from medlarpass.ranges.range_planner import RangePlanner
@@ -19,6 +22,7 @@
 __all__ = [
     "KEY_COUNT",
     "GrantExpiryTracker",
+    "KeyIntervals",
     "KeyLoads",
     "PlannerServer",
     "PoolLoads",
@@ -29,5 +33,7 @@
     "RangeTable",
     "ServerSpeeds",
     "apply_moves",
+    "overlapping",
+    "parts_outside",
     "plan_rebalancing",
 ]
--- a/packages/medlarpass/src/medlarpass/ranges/range_assignment.py
+++ b/packages/medlarpass/src/medlarpass/ranges/range_assignment.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from bisect import bisect_right
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from medlarpass.base import Value
@@ -9,6 +12,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Sequence
+
+    from medlarpass.ranges.key_intervals import KeyIntervals
 
 #: Keys are integers from 0 to ``KEY_COUNT - 1``.
 KEY_COUNT = 65_536
@@ -96,3 +102,20 @@
             message.life,
             message.fence,
         )
+
+
+def overlapping(assigned: Sequence[RangeAssignment], first: int, last: int) -> slice:
+    """Return where the ranges that contain any key from ``first`` to ``last`` are.
+
+    :param assigned: disjoint ranges of one pool, sorted by key
+    """
+    begin = bisect_left(assigned, first, key=attrgetter("last"))
+    return slice(begin, bisect_right(assigned, last, lo=begin, key=attrgetter("first")))
+
+
+def parts_outside(assignment: RangeAssignment, intervals: KeyIntervals) -> list[RangeAssignment]:
+    """Return the parts of an assignment that lie outside all intervals."""
+    parts = [assignment]
+    for first, last in intervals.overlapping(assignment.first, assignment.last):
+        parts = [rest for part in parts for rest in part.without(first, last)]
+    return parts
--- a/packages/medlarpass/src/medlarpass/ranges/range_planner.py
+++ b/packages/medlarpass/src/medlarpass/ranges/range_planner.py
@@ -7,8 +7,10 @@
 from medlarpass.base import Value
 from medlarpass.ranges.balance_rule import HOT_KEYS_RULE
 from medlarpass.ranges.balance_rule import STEADY_LOAD_RULE
+from medlarpass.ranges.key_intervals import KeyIntervals
 from medlarpass.ranges.range_assignment import KEY_COUNT
 from medlarpass.ranges.range_assignment import RangeAssignment
+from medlarpass.ranges.range_assignment import parts_outside
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -256,9 +258,8 @@
     assigned: Sequence[RangeAssignment], moves: Sequence[RangeAssignment]
 ) -> list[RangeAssignment]:
     """Return the ranges as they are after the moves."""
-    rest = list(assigned)
-    for move in moves:
-        rest = [part for assignment in rest for part in assignment.without(move.first, move.last)]
+    moved = KeyIntervals.merged((move.first, move.last) for move in moves)
+    rest = [part for assignment in assigned for part in parts_outside(assignment, moved)]
     return [*rest, *moves]
 
 
--- a/packages/medlarpass/src/medlarpass/ranges/range_table.py
+++ b/packages/medlarpass/src/medlarpass/ranges/range_table.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from medlarpass.ranges.range_assignment import RangeAssignment
+from medlarpass.ranges.range_assignment import overlapping
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import state_pb2
 
@@ -31,6 +33,9 @@
     def assign(self, body: control_pb2.AssignRanges) -> control_pb2.RangesResult:
         """Assign ranges to servers, each with a new fence."""
         result = control_pb2.RangesResult()
+        for pool in {message.pool for message in body.assignments}:
+            # Readers may keep the previous list while they wait.
+            self.pools[pool] = list(self.pools.get(pool, ()))
         for message in body.assignments:
             self.last_fence += 1
             assignment = RangeAssignment.from_proto(message).with_fence(self.last_fence)
@@ -77,9 +82,7 @@
         return table
 
     def _insert(self, new: RangeAssignment) -> None:
-        kept = [
-            part
-            for old in self.pools.get(new.pool, ())
-            for part in old.without(new.first, new.last)
-        ]
-        self.pools[new.pool] = sorted([*kept, new], key=lambda assignment: assignment.first)
+        assigned = self.pools.setdefault(new.pool, [])
+        overlapped = overlapping(assigned, new.first, new.last)
+        parts = [part for old in assigned[overlapped] for part in old.without(new.first, new.last)]
+        assigned[overlapped] = sorted([*parts, new], key=attrgetter("first"))
--- a/packages/medlarpass/tests/ranges/test_range_table.py
+++ b/packages/medlarpass/tests/ranges/test_range_table.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from itertools import pairwise
+from typing import Any
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -63,3 +64,35 @@
     table.retire(control_pb2.RetireServer(identity="a", life=9))
     table.retire(control_pb2.RetireServer(identity="a", life=3))
     assert table.is_retired("a", 9)
+
+
+def test_the_work_of_an_assignment_does_not_grow_with_all_ranges(monkeypatch: Any) -> None:
+    """Guards against control replicas that all stand still while they apply one command.
+
+    Each new range visited all others, so that 600 ranges that a server loss had freed took longer
+    than an election timeout on small VMs.
+    """
+    visits = 0
+    without = RangeAssignment.without
+
+    def counted(self: RangeAssignment, first: int, last: int) -> Any:
+        nonlocal visits
+        visits += 1
+        return without(self, first, last)
+
+    monkeypatch.setattr(RangeAssignment, "without", counted)
+    table = RangeTable()
+    ranges = [RangeAssignment("p", key, key + 99, "a", 1) for key in range(0, 60_000, 100)]
+    assign(table, *ranges)
+    assign(table, *(part.with_bounds(part.first + 50, part.last) for part in ranges))
+    assert len(table.pools["p"]) == 1200
+    assert visits <= 2 * len(ranges)
+
+
+def test_readers_keep_the_ranges_from_before_an_assignment() -> None:
+    """Guards against a list that changes while a reader waits."""
+    table = RangeTable()
+    assign(table, RangeAssignment("p", 0, 99, "a", 1))
+    before = table.pools["p"]
+    assign(table, RangeAssignment("p", 50, 99, "b", 1))
+    assert [(part.first, part.last) for part in before] == [(0, 99)]
