Spread the renewals of a new leader over an eighth of the lease

Cause: at the start of its term a leader renewed all ranges in one step, over new connections. Change: renewals that wait longest start first, and so many in a step that all ranges are renewed within an eighth of the lease; a quarter at most after a late step. Measured: 400 ranges started 400 calls in the first step, now 100 at most; the test failed before.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 from medlarpass import MedlarpassError
@@ -34,6 +35,13 @@
 RELEASE_TIMEOUT_SECONDS = 3.0
 #: Renewals within the validity of one grant, so that several may fail before the keys are lost.
 RENEWALS_PER_GRANT_COUNT = 4
+#: Ratio of the lease over which the renewals of all ranges are spread. A new leader would otherwise
+#: renew hundreds of ranges in one pass of its event loop and be late for its followers.
+RENEWAL_SPREAD_RATIO = 0.125
+#: Limits of the renewals that are started together: the most, as a ratio of the ranges, after a
+#: step that was late, and a number that is allowed in any case.
+MAX_RENEWED_RATIO = 0.25
+MIN_RENEWAL_LIMIT_COUNT = 16
 #: Delay before a failed renewal is retried.
 RENEWAL_RETRY_SECONDS = 0.4
 #: Time after a failed grant during which a server gets no further keys. It is limited because only
@@ -67,6 +75,7 @@
         "locks",
         "log",
         "pending_fences",
+        "renewals_started_at",
         "renewed_at",
         "settings",
         "tasks",
@@ -98,6 +107,8 @@
         self.pending_fences: set[int] = set()
         #: Time of the last grant, by fence and first key.
         self.renewed_at: dict[tuple[int, int], float] = {}
+        #: Time at which renewals were last started.
+        self.renewals_started_at = -math.inf
         #: One lock per server: grants are sent one at a time, and none while a release starts,
         #: because a renewal must not overtake a release.
         self.locks: dict[str, asyncio.Lock] = {}
@@ -203,19 +214,36 @@
         self._spawn(self._refence(assignment))
 
     def renew(self) -> None:
-        """Renew all grants that are due."""
-        due = self.clock.now() - self.settings.hold / RENEWALS_PER_GRANT_COUNT
+        """Start the renewals that are due, those that wait longest first."""
+        due_at = self.clock.now() - self.settings.hold / RENEWALS_PER_GRANT_COUNT
+        due = []
+        range_count = 0
         for assignment in self.fleet.state.ranges.all():
-            member = self.fleet.directory.members.get(assignment.identity)
-            if member is None or member.heartbeat.incarnation != assignment.incarnation:
-                continue
-            if not self._is_reachable(member):
-                continue
-            if self.is_pending(assignment.fence):
-                continue
-            for part in self.fleet.parts_not_moving(assignment):
-                if self.renewed_at.get((part.fence, part.first), 0.0) <= due:
-                    self._spawn(self._renew(part))
+            range_count += 1
+            if self._is_renewable(assignment):
+                for part in self.fleet.parts_not_moving(assignment):
+                    renewed_at = self.renewed_at.get((part.fence, part.first), 0.0)
+                    if renewed_at <= due_at:
+                        due.append((renewed_at, part))
+        due.sort(key=itemgetter(0))
+        for _, part in due[: self._renewal_limit(range_count)]:
+            self._spawn(self._renew(part))
+
+    def _is_renewable(self, assignment: RangeAssignment) -> bool:
+        member = self.fleet.directory.members.get(assignment.identity)
+        return (
+            member is not None
+            and member.heartbeat.incarnation == assignment.incarnation
+            and self._is_reachable(member)
+            and not self.is_pending(assignment.fence)
+        )
+
+    def _renewal_limit(self, range_count: int) -> int:
+        """Return how many renewals may start now."""
+        now = self.clock.now()
+        elapsed, self.renewals_started_at = now - self.renewals_started_at, now
+        ratio = min(elapsed / (self.settings.hold * RENEWAL_SPREAD_RATIO), MAX_RENEWED_RATIO)
+        return max(math.ceil(range_count * ratio), MIN_RENEWAL_LIMIT_COUNT)
 
     async def wait_for_expiry(self, part: RangeAssignment) -> float:
         """Wait for the call in progress and return when the last grant of the keys expires.
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -538,3 +538,32 @@
     await simulation.run(3)
     assert simulation.count_unowned() == 0
     assert len(list(simulation.state.ranges.all())) <= 2 * len(simulation.servers)
+
+
+async def test_a_new_leader_does_not_renew_all_grants_at_once(new_simulation: Any) -> None:
+    """Guards against a new leader that sends hundreds of grants in one pass of its event loop.
+
+    It was late for its followers then, which elected the next leader, which did the same.
+    """
+    simulation = new_simulation(40)
+    divide_keys(simulation, 400)
+    simulation.change_leader()
+    for server in simulation.servers.values():
+        simulation.fleet.directory.record_heartbeat(server.heartbeat())
+    await simulation.keeper.step()
+    assert len(simulation.keeper.grants.tasks) <= 100
+    simulation.keeper.grants.stop()
+    await simulation.run(1.0)
+    assert simulation.count_unowned() == 0
+
+
+async def test_spread_renewals_are_in_time_when_steps_are_late(new_simulation: Any) -> None:
+    """Guards against leases that end since each late step renews a part of the ranges only."""
+    simulation = new_simulation(40)
+    divide_keys(simulation, 400)
+    simulation.change_leader()
+    await simulation.run(1.0)
+    for _ in range(12):
+        simulation.clock.advance(0.5)
+        await simulation.step()
+        assert simulation.count_unowned() == 0
