Keep the streams of entries at a relay during an election

Cause: a relay that had heard nothing from the leader for 0.8 s ended the streams of all its entries and named the leader. Change: a relay serves for 1.6 s without a message and then passes on what the next leader changes; entries turn to a named leader after up to 0.3 s, unless they have no view yet. An entry still has fresh routes within the 2 s that a confirmation allows.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_updater.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_updater.py
@@ -25,9 +25,13 @@
     from medlarpass_daemon.rpc_channels import RpcChannels
     from medlarpass_daemon.settings import DaemonSettings
 
-#: Time without a message from the leader after which a relay stops serving its watchers. The leader
-#: sends a relay at least four updates a second.
+#: Time without a message from the leader after which a relay opens another stream. The leader sends
+#: a relay at least four updates a second.
 LEADER_TIMEOUT_SECONDS = 0.8
+#: Time without a message from the leader after which a relay stops serving its watchers. An
+#: election usually takes less: if all entries turned to the new leader in the moment of its
+#: election, it would be late for its followers. Entries have to follow another replica within 2 s.
+MAX_STALENESS_SECONDS = 1.6
 #: Minimum interval of the updates of the feed, which combines changes in quick succession.
 MIN_REFRESH_INTERVAL_SECONDS = 0.02
 #: Interval at which the leader updates the feed without a change.
@@ -99,8 +103,8 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the feed is up to date with a leader."""
-        return self.clock.now() - self.updated_at < LEADER_TIMEOUT_SECONDS
+        """Whether the feed is recent enough to serve watchers."""
+        return self.clock.now() - self.updated_at < MAX_STALENESS_SECONDS
 
     async def run(self) -> None:
         """Keep the feed up to date until cancelled."""
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -39,6 +39,9 @@
 #: entries do not overload the few replicas with requests that they refuse.
 MIN_RETRY_DELAY_SECONDS = 0.1
 MAX_RETRY_DELAY_SECONDS = 0.4
+#: Maximum delay before a replica is tried that another one has named. A relay that stops serving
+#: names the leader to all of its entries in the same moment.
+MAX_REFERRAL_DELAY_SECONDS = 0.3
 RETIRED = fleet_pb2.SERVER_PHASE_RETIRED
 
 
@@ -195,7 +198,8 @@
         else:
             self._record_loss(stream, cause)
         if is_referred:
-            self.next_attempt_at = now
+            has_view = bool(self.term)
+            self.next_attempt_at = now + random.uniform(0.0, MAX_REFERRAL_DELAY_SECONDS) * has_view
             return referred_address
         # A newly elected leader refers to itself until it serves; it is tried again after a delay.
         self.next_attempt_at = now + self.retry_delay * random.uniform(0.5, 1.0)
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_watcher.py
@@ -53,6 +53,28 @@
     assert 1 <= len(requested) <= 10
 
 
+async def test_entries_do_not_turn_to_a_named_leader_in_the_same_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a leader that is late since all entries of a relay ask it at once.
+
+    An entry without a view can't serve and is not delayed.
+    """
+    monkeypatch.setattr(fleet_watcher.random, "uniform", lambda low, high: high)
+    settings: Any = SimpleNamespace(name="e", domain="north")
+    seeds: Any = SimpleNamespace(addresses=[REMOTE])
+    unused: Any = None
+    watcher = FleetWatcher(settings, seeds, unused, lambda: 0, unused)
+    for term, delay in ((0, 0.0), (3, fleet_watcher.MAX_REFERRAL_DELAY_SECONDS)):
+        watcher.term = term
+        task = asyncio.create_task(asyncio.sleep(0, LEADER))
+        await task
+        now = asyncio.get_running_loop().time()
+        watcher.streams[task] = fleet_watcher.ControlStream(REMOTE, now)
+        assert watcher._handle_end(task) == LEADER
+        assert watcher.next_attempt_at == pytest.approx(now + delay, abs=0.1)
+
+
 class ScriptedCall:
     """A stream of a replica with scripted behaviour."""
 
