Confirm that a server leaves only once entries follow

Cause: a leave was confirmed after 0.4 s whatever entries knew, and entries whose relay had just lost the leader were not counted at all. Change: a leave is answered with 503 (leave_not_followed) until all reachable entries follow it, for up to 3 s; the server repeats it. Entries that were watching within 2 s and have no stream count as behind, also those of the previous leader. A replica that no longer leads confirms neither a leave nor a publication. A publication is still confirmed after 0.5 s, as entries that lack it refuse what they do not have. Two tests of other faults now let the leader lead for 1.2 s first, as a leader that was just elected refuses leaves; what they check is unchanged. Measured: four new tests, which fail before (a leave is confirmed).

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/exceptions.py
@@ -29,6 +29,13 @@
     outcome = Outcome.NOT_RUN
 
 
+class LeaveNotFollowedError(MedlarpassError):
+    """Entries may still give new work to a server that leaves; it repeats its message."""
+
+    code = "leave_not_followed"
+    http_status = 503
+
+
 class TooFewReplicasError(MedlarpassError):
     """Fewer replicas have joined than the tolerated losses require."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -15,6 +15,7 @@
 from medlarpass.rpc import control_pb2
 from medlarpass_daemon.control.fleet import events
 from medlarpass_daemon.control.fleet.exceptions import InvalidNoticeError
+from medlarpass_daemon.control.fleet.exceptions import LeaveNotFollowedError
 from medlarpass_daemon.control.fleet.exceptions import NotLeadingError
 from medlarpass_daemon.control.fleet.exceptions import NotPublishedError
 from medlarpass_daemon.control.fleet.exceptions import TooFewReplicasError
@@ -36,8 +37,11 @@
 #: unresponsive after a second, part of which it takes to check and write a publication.
 PUBLICATION_TIMEOUT_SECONDS = 0.5
 LEAVE_TIMEOUT_SECONDS = 0.4
-#: Maximum number of leaving servers whose position in the feed is kept; a server repeats the
-#: message that it leaves for a few seconds.
+#: Time after the first message of a server that leaves in which it is confirmed only once entries
+#: follow. An entry notices within this time that its stream is dead.
+LEAVE_PATIENCE_SECONDS = 3.0
+#: Maximum number of leaving servers whose first request is kept; a server repeats it for a few
+#: seconds.
 MAX_LEAVE_COUNT = 1000
 #: Maximum number of heartbeats that are kept until the first publication.
 MAX_EARLY_HEARTBEAT_COUNT = 4096
@@ -47,6 +51,20 @@
 MAX_LOGGED_NAME_COUNT = 8
 
 
+class LeaveRequest:
+    """The first request of a server to leave in a term of the leader.
+
+    :param position: term and feed revision that report the leave to entries
+    :param asked_at: clock reading at the request, in seconds
+    """
+
+    __slots__ = ("asked_at", "position")
+
+    def __init__(self, position: tuple[int, int], asked_at: float) -> None:
+        self.position = position
+        self.asked_at = asked_at
+
+
 class FleetOperations:
     """Operations that only the leader serves; other replicas return its address.
 
@@ -59,7 +77,7 @@
         "control",
         "early_heartbeats",
         "fleet",
-        "leave_positions",
+        "leave_requests",
         "log",
         "records_in_progress",
         "refused",
@@ -73,9 +91,8 @@
         #: Identities and incarnations that are being written to the log.
         self.records_in_progress: set[tuple[str, int]] = set()
         self.tasks: set[asyncio.Task[None]] = set()
-        #: Term and feed revision that report the latest leaving servers, by identity and
-        #: incarnation.
-        self.leave_positions: dict[tuple[str, int], tuple[int, int]] = {}
+        #: Latest requests to leave, by identity and incarnation.
+        self.leave_requests: dict[tuple[str, int], LeaveRequest] = {}
         #: Newest heartbeats before the first publication, by identity.
         self.early_heartbeats: dict[str, ServerHeartbeat] = {}
         #: Identities and pools of refused heartbeats, oldest first.
@@ -107,6 +124,7 @@
         """Stop giving new work to a server; returning confirms it.
 
         :param incarnation: incarnation that leaves; None for the newest known
+        :raises LeaveNotFollowedError: entries do not follow yet
         :raises NotLeadingError: another replica leads
         :raises UnknownResultError: the result is not known
         """
@@ -122,9 +140,11 @@
             events.SERVER_RETIRED.log(server=identity, life=incarnation)
         if self.fleet.directory.retire(identity, incarnation):
             self.fleet.servers_changed()
-        await self._wait_for_watchers(
-            self._leave_position(identity, incarnation), LEAVE_TIMEOUT_SECONDS
-        )
+        leave = self._leave_request(identity, incarnation)
+        if not await self._are_watchers_following(leave.position, LEAVE_TIMEOUT_SECONDS):
+            if self.fleet.clock.now() - leave.asked_at < LEAVE_PATIENCE_SECONDS:
+                raise LeaveNotFollowedError(f"entries do not know yet that {identity} leaves")
+            self._log_early_confirmation(leave.position)
 
     async def publish(self, document: dict[str, Any], source: bytes) -> int:
         """Put routes and pools in force if their version is higher.
@@ -146,9 +166,7 @@
         in_force = self.fleet.state.publication.version
         if publication.version <= in_force:
             events.PUBLICATION_UNCHANGED.log(version=publication.version, in_force=in_force)
-            await self._wait_for_watchers(
-                self.fleet.publication_position(), PUBLICATION_TIMEOUT_SECONDS
-            )
+            await self._confirm_publication()
             return in_force
         self._check_replicas()
         body = compress_publication(publication.version, publication.to_json(), source)
@@ -159,9 +177,7 @@
             routes=len(publication.routes),
         )
         self._record_early(publication)
-        await self._wait_for_watchers(
-            self.fleet.publication_position(), PUBLICATION_TIMEOUT_SECONDS
-        )
+        await self._confirm_publication()
         return result.publish.version
 
     async def read_publication(self) -> bytes:
@@ -223,43 +239,64 @@
             self.fleet.servers_changed()
         self._record_server(heartbeat)
 
-    def _leave_position(self, identity: str, incarnation: int) -> tuple[int, int]:
-        """Return the term and feed revision that report to entries that a server leaves.
+    def _leave_request(self, identity: str, incarnation: int) -> LeaveRequest:
+        """Return the first request of a server to leave in this term.
 
-        A leaving server repeats this with each heartbeat, and only the first one has to wait.
+        A leaving server repeats it with each heartbeat, and only the first one has to wait.
         """
-        position = self.leave_positions.get((identity, incarnation))
-        if position is None or position[0] != self.fleet.led_term:
-            position = self.leave_positions[identity, incarnation] = self.fleet.next_position()
-        while len(self.leave_positions) > MAX_LEAVE_COUNT:
-            del self.leave_positions[next(iter(self.leave_positions))]
-        return position
+        request = self.leave_requests.get((identity, incarnation))
+        if request is None or request.position[0] != self.fleet.led_term:
+            request = LeaveRequest(self.fleet.next_position(), self.fleet.clock.now())
+            self.leave_requests[identity, incarnation] = request
+        while len(self.leave_requests) > MAX_LEAVE_COUNT:
+            del self.leave_requests[next(iter(self.leave_requests))]
+        return request
+
+    async def _confirm_publication(self) -> None:
+        """Return once all reachable entries have the publication, or after a timeout.
 
-    async def _wait_for_watchers(self, position: tuple[int, int], timeout: float) -> None:
-        """Return once all reachable entries have a state of this leader.
+        After the timeout the confirmation is given anyway: the platform allows entries some time
+        after a confirmation, and the responses to their reports show that they lack a publication.
+
+        :raises NotLeadingError: the leadership ended meanwhile
+        """
+        position = self.fleet.publication_position()
+        if not await self._are_watchers_following(position, PUBLICATION_TIMEOUT_SECONDS):
+            self._log_early_confirmation(position)
+
+    async def _are_watchers_following(self, position: tuple[int, int], timeout: float) -> bool:
+        """Wait until all reachable entries have a state of this leader.
 
         A new leader also waits until the entries can have reported to it, since it does not know
-        yet which ones are reachable. After the timeout the confirmation is given anyway: the
-        platform allows entries some time after a confirmation, and the responses to their reports
-        show that they lack an update.
+        yet which ones are reachable. Entries that have just lost their stream are waited for.
 
         :param position: term and feed revision of the state
-        :param timeout: seconds after which the confirmation is given anyway
+        :param timeout: maximum seconds to wait
+        :raises NotLeadingError: the leadership ended meanwhile; entries follow another replica
         """
         watchers = self.fleet.watchers
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        while (lagging := watchers.lagging(position)) or self.fleet.is_awaiting_reports:
+        while (
+            self.fleet.is_awaiting_reports or watchers.missing_count or watchers.lagging(position)
+        ):
             remaining = deadline - loop.time()
             if remaining <= 0:
-                events.CONFIRMED_EARLY.log(
-                    term=position[0],
-                    mark=position[1],
-                    behind=lagging[:MAX_LOGGED_NAME_COUNT],
-                    count=len(lagging),
-                )
-                return
+                self.check_leading()
+                return False
             await wait_until_set(watchers.reported, remaining)
+        self.check_leading()
+        return True
+
+    def _log_early_confirmation(self, position: tuple[int, int]) -> None:
+        lagging = self.fleet.watchers.lagging(position)
+        events.CONFIRMED_EARLY.log(
+            term=position[0],
+            mark=position[1],
+            behind=lagging[:MAX_LOGGED_NAME_COUNT],
+            count=len(lagging),
+            missing=self.fleet.watchers.missing_count,
+        )
 
     def check_leading(self) -> None:
         """Check that this replica leads.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -110,6 +110,8 @@
         self.led_term = term
         self.led_at = self.clock.now()
         self.publication_feed_revision = self.feed.feed_revision + 1
+        # As a relay, this replica got the number from the previous leader.
+        self.watchers.expect(self.feed.entry_count)
         for record in self.state.servers.all():
             self.directory.record_heartbeat(ServerHeartbeat.from_record(record))
         self.servers_changed()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/watchers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/watchers.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from collections import Counter
+from collections import deque
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
@@ -20,6 +21,9 @@
 #: Time after its last report for which a watcher counts as reachable. Entries report more than
 #: twice a second; the limit keeps an unreachable entry from delaying confirmations.
 REACHABILITY_SECONDS = 1.2
+#: Time in which an entry that has lost its stream opens another one, unless it has ended. Until
+#: then it may follow an older state, and no report tells.
+RETURN_SECONDS = 2.0
 
 
 class WatcherReport:
@@ -44,7 +48,14 @@
     :param clock: source of time; counts suspended time
     """
 
-    __slots__ = ("clock", "entry_streams", "relay_streams", "reported", "reports")
+    __slots__ = (
+        "clock",
+        "earlier_counts",
+        "entry_streams",
+        "relay_streams",
+        "reported",
+        "reports",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
@@ -54,6 +65,8 @@
         self.relay_streams: Counter[tuple[str, str]] = Counter()
         #: Last reports by name of the entry or address of the relay.
         self.reports: dict[str, WatcherReport] = {}
+        #: Numbers of entries that were watching until a time, oldest first.
+        self.earlier_counts: deque[tuple[float, int]] = deque()
         #: Set and replaced on each report.
         self.reported = asyncio.Event()
 
@@ -70,6 +83,19 @@
             report.entry_count for report in reports if report is not None
         )
 
+    @property
+    def missing_count(self) -> int:
+        """Number of entries that were watching shortly before and do not watch now."""
+        since = self.clock.now() - RETURN_SECONDS
+        while self.earlier_counts and self.earlier_counts[0][0] <= since:
+            self.earlier_counts.popleft()
+        most = max((count for _, count in self.earlier_counts), default=0)
+        return max(most - self.entry_count, 0)
+
+    def expect(self, count: int) -> None:
+        """Record that a number of entries was watching until now."""
+        self.earlier_counts.append((self.clock.now(), count))
+
     def sources(self) -> Iterable[fleet_pb2.FleetSource]:
         """Yield the relays that can be watched."""
         for address, domain in self.relay_streams:
@@ -84,12 +110,14 @@
 
     def remove_stream(self, request: fleet_pb2.WatchRequest) -> None:
         """Record the end of a stream."""
+        count = self.entry_count
         if request.is_relay:
             self._remove_stream(
                 self.relay_streams, (request.address, request.domain), request.address
             )
         else:
             self._remove_stream(self.entry_streams, request.entry, request.entry)
+        self._record_decrease(count)
 
     def record_report(self, report: fleet_pb2.EntryReport) -> None:
         """Record the report of a watcher that has an open stream."""
@@ -97,7 +125,9 @@
             address != report.entry for address, _ in self.relay_streams
         ):
             return
+        count = self.entry_count
         self.reports[report.entry] = WatcherReport(report, self.clock.now())
+        self._record_decrease(count)
         self.reported.set()
         self.reported = asyncio.Event()
 
@@ -115,6 +145,10 @@
         """
         return min((own_position, *(report.position for _, report in self._reachable())))
 
+    def _record_decrease(self, previous_count: int) -> None:
+        if self.entry_count < previous_count:
+            self.expect(previous_count)
+
     def _reachable(self) -> Iterable[tuple[str, WatcherReport]]:
         since = self.clock.now() - REACHABILITY_SECONDS
         return (item for item in self.reports.items() if item[1].reported_at > since)
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
@@ -13,13 +13,17 @@
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet.exceptions import InvalidNoticeError
+from medlarpass_daemon.control.fleet.exceptions import LeaveNotFollowedError
+from medlarpass_daemon.control.fleet.exceptions import NotLeadingError
 from medlarpass_daemon.control.fleet.exceptions import NotPublishedError
 from medlarpass_daemon.control.fleet.exceptions import TooFewReplicasError
 from medlarpass_daemon.control.fleet.exceptions import UnknownPoolError
+from medlarpass_daemon.control.fleet.fleet_operations import LEAVE_PATIENCE_SECONDS
 from medlarpass_daemon.control.fleet.fleet_operations import PUBLICATION_TIMEOUT_SECONDS
 from medlarpass_daemon.control.fleet.fleet_operations import REPLICA_JOIN_SECONDS
 from medlarpass_daemon.control.fleet.fleet_operations import FleetOperations
 from medlarpass_daemon.control.fleet.watchers import REACHABILITY_SECONDS
+from medlarpass_daemon.control.fleet.watchers import RETURN_SECONDS
 
 
 def operations_of(simulation: Any, voters: int = 5, tolerated_losses: int = 1) -> FleetOperations:
@@ -71,6 +75,7 @@
     """Guards against a later leader that uses a server which has left."""
     simulation = new_simulation(1)
     operations = operations_of(simulation)
+    simulation.clock.advance(REACHABILITY_SECONDS)
     await operations.handle_heartbeat(simulation.servers["s0"].heartbeat())
     await operations.handle_heartbeat(simulation.servers["s0"].heartbeat(is_leaving=True))
     await operations.handle_heartbeat(simulation.servers["s0"].heartbeat(is_leaving=True))
@@ -172,6 +177,7 @@
     """Guards against a server that gets no confirmation because its pool was removed before."""
     simulation = new_simulation(1)
     operations = operations_of(simulation)
+    simulation.clock.advance(REACHABILITY_SECONDS)
     server = simulation.servers["s0"]
     await operations.handle_heartbeat(server.heartbeat())
     await operations.publish({**publication(2), "pools": []}, b"{}")
@@ -315,6 +321,90 @@
     await operations.handle_heartbeat(server.heartbeat(is_leaving=True))
 
 
+async def test_a_leave_is_not_confirmed_while_entries_change_replicas(new_simulation: Any) -> None:
+    """Guards against requests to a server whose leave a leader confirmed to itself.
+
+    A relay had just lost the leader, and no report told that its entries followed an older state;
+    they sent requests to the server for 13 s.
+    """
+    simulation = new_simulation(1)
+    operations = operations_of(simulation)
+    server = simulation.servers["s0"]
+    await operations.handle_heartbeat(server.heartbeat())
+    await entries_of(simulation, 0)
+    relay = fleet_pb2.WatchRequest(is_relay=True, address="10.0.0.2:1", domain="north")
+    watchers = simulation.fleet.watchers
+    watchers.add_stream(relay)
+    feed = simulation.fleet.feed
+    report = fleet_pb2.EntryReport(
+        entry=relay.address, entries=18, term=feed.term, mark=feed.feed_revision
+    )
+    watchers.record_report(report)
+    watchers.remove_stream(relay)
+    with pytest.raises(LeaveNotFollowedError):
+        await operations.handle_heartbeat(server.heartbeat(is_leaving=True))
+    watchers.add_stream(relay)
+    update_feed(simulation)
+    report.mark = feed.feed_revision
+    watchers.record_report(report)
+    await operations.handle_heartbeat(server.heartbeat(is_leaving=True))
+
+
+async def test_a_leave_is_not_confirmed_while_an_entry_does_not_follow(new_simulation: Any) -> None:
+    """Guards against a leave that is confirmed after 0.4 s whatever entries know.
+
+    An entry that never follows does not keep the server from leaving.
+    """
+    simulation = new_simulation(1)
+    operations = operations_of(simulation)
+    server = simulation.servers["s0"]
+    await operations.handle_heartbeat(server.heartbeat())
+    (entry,) = await entries_of(simulation, 1)
+    stale = (simulation.fleet.feed.term, simulation.fleet.feed.feed_revision)
+    with pytest.raises(LeaveNotFollowedError):
+        await operations.handle_heartbeat(server.heartbeat(is_leaving=True))
+    simulation.clock.advance(LEAVE_PATIENCE_SECONDS)
+    report = fleet_pb2.EntryReport(entry=entry.name, term=stale[0], mark=stale[1])
+    simulation.fleet.watchers.record_report(report)
+    await operations.handle_heartbeat(server.heartbeat(is_leaving=True))
+
+
+@pytest.mark.parametrize("call", ["leave", "publish"])
+async def test_a_former_leader_confirms_nothing(new_simulation: Any, call: str) -> None:
+    """Guards against a confirmation of a leader whose entries have turned to its successor."""
+    simulation = new_simulation(1)
+    operations = operations_of(simulation)
+    server = simulation.servers["s0"]
+    await operations.handle_heartbeat(server.heartbeat())
+    await entries_of(simulation, 1)
+    action = (
+        operations.handle_heartbeat(server.heartbeat(is_leaving=True))
+        if call == "leave"
+        else operations.publish(publication(2), b"{}")
+    )
+    confirmation = await start(action)
+    simulation.log.replica.is_leader = False
+    simulation.log.leader_address = lambda: "10.0.0.9:1"
+    with pytest.raises(NotLeadingError):
+        await confirmation
+
+
+async def test_entries_of_the_previous_leader_are_waited_for(new_simulation: Any) -> None:
+    """Guards against a new leader that confirms a leave before the entries have found it."""
+    simulation = new_simulation(1)
+    operations = operations_of(simulation)
+    server = simulation.servers["s0"]
+    await operations.handle_heartbeat(server.heartbeat())
+    simulation.fleet.feed.entry_count = 73
+    simulation.fleet.start_term(simulation.fleet.led_term)
+    await operations.handle_heartbeat(server.heartbeat())
+    simulation.clock.advance(REACHABILITY_SECONDS)
+    with pytest.raises(LeaveNotFollowedError):
+        await operations.handle_heartbeat(server.heartbeat(is_leaving=True))
+    simulation.clock.advance(RETURN_SECONDS)
+    await operations.handle_heartbeat(server.heartbeat(is_leaving=True))
+
+
 async def test_a_relay_counts_as_its_slowest_entry(new_simulation: Any) -> None:
     """Guards against a confirmation that waits for relays but not for the entries behind them."""
     simulation = new_simulation(1)
