Let a replica that was paused read the leader's calls before it campaigns

Cause: a follower that had not run in time found its election timeout expired before it read the calls that waited in its connections. Change: a timeout that is noticed late is extended once, by two heartbeats. A replica that is always late still campaigns.

--- a/packages/medlarpass/src/medlarpass/replication/election.py
+++ b/packages/medlarpass/src/medlarpass/replication/election.py
@@ -17,6 +17,9 @@
     from medlarpass.replication.state import ReplicaState
     from medlarpass.rpc.replication_pb2 import VoteResponse
 
+#: Heartbeats of the leader for which a replica that was paused waits before it campaigns.
+EXTENSION_HEARTBEAT_COUNT = 2
+
 
 class Election:
     """Starts an election when there was no call from the leader for a random timeout."""
@@ -39,11 +42,21 @@
 
     async def _wait_for_timeout(self, timeout: float) -> None:
         state = self.state
+        heartbeat = state.settings.heartbeat
+        is_extended = False
         while True:
-            remaining = state.election_timer_started_at + timeout - state.clock.now()
-            if remaining <= 0:
+            now = state.clock.now()
+            remaining = state.election_timer_started_at + timeout - now
+            if remaining > 0:
+                await asyncio.sleep(remaining)
+                continue
+            if is_extended or -remaining < heartbeat:
                 return
-            await asyncio.sleep(remaining)
+            # This replica has not run in time, and calls of the leader may wait to be read. The
+            # timeout is extended once, so that a replica that is always late can campaign too.
+            is_extended = True
+            extension = EXTENSION_HEARTBEAT_COUNT * heartbeat
+            state.election_timer_started_at = now + extension - timeout
 
     def _can_campaign(self) -> bool:
         state = self.state
--- a/packages/medlarpass/tests/replication/test_replica_elections.py
+++ b/packages/medlarpass/tests/replication/test_replica_elections.py
@@ -45,6 +45,37 @@
         assert leader.replica.is_leader
 
 
+async def test_a_paused_replica_reads_the_calls_of_the_leader_before_it_campaigns() -> None:
+    """Guards against elections started by replicas that did not run while the leader called.
+
+    Followers that were short of processor time found their timeouts expired before they read the
+    leader's calls from their connections.
+    """
+    async with Cluster(3, clock=ManualClock) as cluster:
+        await cluster.nodes[0].replica.election.campaign()
+        await cluster.wait(lambda: all(n.replica.term == 1 for n in cluster.nodes))
+        paused = cluster.nodes[2]
+        state = paused.replica.state
+        paused_at = state.clock.now()
+        cast("ManualClock", paused.clock).advance(100)
+        waiting = asyncio.create_task(
+            paused.replica.election._wait_for_timeout(state.settings.election_timeout_min)
+        )
+        await cluster.wait(lambda: state.leader_contact_at > paused_at, "call of the leader")
+        assert not waiting.done()
+        waiting.cancel()
+
+
+async def test_a_replica_that_is_always_late_campaigns() -> None:
+    """Guards against a cluster of slow replicas that never elects a leader."""
+    async with Cluster(1, clock=ManualClock) as cluster:
+        replica = cluster.nodes[0].replica
+        waiting = asyncio.create_task(replica.election._wait_for_timeout(0.5))
+        while not waiting.done():
+            cast("ManualClock", cluster.nodes[0].clock).advance(10)
+            await asyncio.sleep(0.01)
+
+
 async def test_leader_in_a_minority_steps_down() -> None:
     async with Cluster(5) as cluster:
         old_leader = await cluster.leader()
