Bound what a server can send in response to a call of control

Cause: control read the whole response to a grant or release, whatever its size; only single lines of a head were bounded. The server now gets rid of less than 16 MiB, most of it into kernel buffers.

--- a/tests/platform_adapter/test_platform_server_calls.py
+++ b/tests/platform_adapter/test_platform_server_calls.py
@@ -12,6 +12,7 @@
 
 from medlarpass.fleet import ServerHeartbeat
 from medlarpass.ranges import RangeAssignment
+from medlarpass_daemon import bounded_connector
 from medlarpass_daemon.control.fleet.exceptions import GrantOutdatedError
 from medlarpass_daemon.control.fleet.exceptions import HigherFenceError
 from medlarpass_daemon.control.fleet.exceptions import ServerCallLostError
@@ -33,6 +34,8 @@
 
     def __init__(self) -> None:
         self.calls: list[tuple[str, Any]] = []
+        #: Addresses from which calls have arrived.
+        self.peers: set[Any] = set()
         self.expected_instance = ""
         self.status = 200
         self.is_unresponsive = False
@@ -49,6 +52,8 @@
         return runner
 
     async def handle_call(self, request: web.Request) -> web.Response:
+        assert request.transport is not None
+        self.peers.add(request.transport.get_extra_info("peername"))
         self.calls.append((request.path, await request.json()))
         self.expected_instance = request.headers["Medlarpass-Expected-Instance"]
         if self.is_unresponsive:
@@ -204,3 +209,67 @@
     assert server.connections == 1
     assert server.server is not None
     server.server.close()
+
+
+#: Far above what one call may receive, and below what ends a control process.
+MAX_SENT_BYTES = 16 << 20
+ENDLESS_RESPONSES = {
+    "body with a length": (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", b"x" * 65536),
+    "body until the connection ends": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
+    "chunked body": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n" + b"x" * 4096 + b"\r\n",
+    ),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-Pad: 1\r\n" * 4096),
+    "one header": (b"HTTP/1.1 200 OK\r\nX-Pad: ", b"y" * 65536),
+    "no line end": (b"", b"x" * 65536),
+    "informational responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2048),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS_RESPONSES)
+@pytest.mark.parametrize("needs_proof", [False, True])
+async def test_a_response_without_end_is_cut_off(
+    calls: PlatformServerCalls, kind: str, needs_proof: bool
+) -> None:
+    """Guards against a faulty server that uses up the memory of the control leader.
+
+    The leader kept all that the server sent in response to a grant and ended after 2 s.
+    """
+    first, rest = ENDLESS_RESPONSES[kind]
+    sent = 0
+    ended = asyncio.Event()
+
+    async def send_without_end(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        try:
+            writer.write(first)
+            while sent < 2 * MAX_SENT_BYTES:
+                writer.write(rest)
+                sent += len(rest)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except ConnectionError:
+            pass
+        finally:
+            ended.set()
+            writer.close()
+
+    server = await asyncio.start_server(send_without_end, "127.0.0.1", 0)
+    heartbeat = FakeServer().heartbeat(server.sockets[0].getsockname()[1])
+    with pytest.raises(ServerCallLostError):
+        await calls.grant(heartbeat, ASSIGNMENT, 4.0, "", 20, needs_proof, is_in_force)
+    await asyncio.wait_for(ended.wait(), 20)
+    assert sent < MAX_SENT_BYTES
+    server.close()
+
+
+async def test_many_short_responses_on_a_connection_are_not_too_large(
+    server: FakeServer, calls: PlatformServerCalls, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a bound that counts the responses to earlier calls."""
+    monkeypatch.setattr(bounded_connector, "MAX_RESPONSE_BYTES", 400)
+    for _ in range(12):
+        await calls.grant(server.heartbeat(), ASSIGNMENT, 4.0, "", 20, False, is_in_force)
+    assert len(server.peers) == 1
