Refuse queued requests before a planned stop ends

Cause: at the end of finish_within an entry cut off what was still in its queue, with no answer; no server had got these requests, and callers of orders could not know that another entry may run them. Change: 0.3 s before the end queued requests get 503 (entry_stopping, not run). stop.killed_after names the time after which the platform kills the process; finish_within ends 0.5 s before it. Measured: the test of the queue failed before (server disconnected).

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/admission.py
@@ -10,6 +10,7 @@
 from medlarpass.dispatch import RetryBudgetSettings
 from medlarpass.dispatch import RouteShare
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
+from medlarpass_daemon.entry.callers.exceptions import EntryStoppingError
 from medlarpass_daemon.entry.callers.route_state import RouteState
 
 if TYPE_CHECKING:
@@ -89,6 +90,14 @@
         if self.queued:
             self._admit_waiting()
 
+    def reject_waiting(self) -> None:
+        """Refuse all requests that wait, since this entry ends."""
+        for state in self.routes.values():
+            while (waiter := state.queue.pop()) is not None:
+                self.queued -= 1
+                if not waiter.done():
+                    waiter.set_exception(EntryStoppingError("this entry ends"))
+
     async def _wait(self, state: RouteState, deadline: float) -> None:
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         ticket = state.queue.push(waiter, deadline)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -43,6 +43,8 @@
 
 #: Interval between checks for remaining work during a graceful shutdown.
 IDLE_POLL_INTERVAL_SECONDS = 0.05
+#: Time before the end of a graceful shutdown at which queued requests are refused.
+REFUSAL_SECONDS = 0.3
 #: Fraction of the configured retry ratio that an entry uses. The configured ratio applies to a pool
 #: as a whole over a window, while an entry counts per route and its windows begin at other times.
 RETRY_BUDGET_SHARE_RATIO = 0.9
@@ -152,7 +154,11 @@
         :returns: whether all requests ended in time
         """
         self.stop_accepting()
-        has_finished = await self._wait_until_idle(timeout)
+        has_finished = await self._wait_until_idle(max(timeout - REFUSAL_SECONDS, 0.0))
+        if not has_finished:
+            # Requests that no server has got yet are refused rather than cut off.
+            self.context.admission.reject_waiting()
+            has_finished = await self._wait_until_idle(min(timeout, REFUSAL_SECONDS))
         self.context.claim_recorder.cancel_pending()
         for task in list(self.context.order_tasks):
             task.cancel()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -91,6 +91,14 @@
     retry_after = 0.1
 
 
+class EntryStoppingError(CallerError):
+    """The request was still queued when this entry had to end; another entry can run it."""
+
+    code = "entry_stopping"
+    http_status = 503
+    retry_after = 0.1
+
+
 class ServersPausedError(CallerError):
     """All servers that can run the request have asked for a pause.
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -199,6 +199,7 @@
         vol.Optional("stop", default=dict): {
             vol.Optional("balancer_wait", default="0s"): duration("0s", "10min"),
             vol.Optional("finish_within", default="4h"): duration("0s", "240h"),
+            vol.Optional("killed_after"): duration("1s", "240h"),
         },
         vol.Optional("log", default=dict): {
             vol.Optional("file", default="-"): text,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/stop.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/stop.py
@@ -6,6 +6,9 @@
 
 from medlarpass import Value
 
+#: Time in which a process exits after its last request.
+EXIT_SECONDS = 0.5
+
 
 class StopSettings(Value):
     """Durations of a graceful shutdown, in seconds.
@@ -20,3 +23,7 @@
         self.balancer_wait: float = document["balancer_wait"]
         #: Maximum time to wait for requests in flight.
         self.finish_within: float = document["finish_within"]
+        if "killed_after" in document:
+            # The process has to answer and to write its last log lines before it is killed.
+            remaining = document["killed_after"] - self.balancer_wait - EXIT_SECONDS
+            self.finish_within = max(min(self.finish_within, remaining), 0.0)
--- a/packages/medlarpass-daemon/tests/entry/callers/test_callers_server.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_callers_server.py
@@ -141,6 +141,33 @@
     assert entry.metrics.refusals.labels("queue_full")._value.get() == 1
 
 
+async def test_queued_requests_are_refused_before_a_stop_ends(harness: Any, builders: Any) -> None:
+    """Guards against requests that a planned stop cuts off although no server has got them.
+
+    Their callers could not know that another entry can run them, orders included.
+    """
+    limits = {"concurrency": 1, "queue": 5}
+    harness.routing.add(
+        "tight", path="/tight", methods=["POST"], limits=limits, **{"class": "order"}
+    )
+    server, resume = await start_blocked_server(harness, builders)
+    entry = await harness.start_entry()
+    first = asyncio.ensure_future(harness.send("/tight", "POST", data=b"x"))
+    await harness.wait_until(lambda: server.requests)
+    queued = [asyncio.ensure_future(harness.send("/tight", "POST", data=b"x")) for _ in range(3)]
+    await harness.wait_until(lambda: entry.context.admission.queued == 3)
+    stop = asyncio.ensure_future(entry.finish(0.5))
+    refused = [await request for request in queued]
+    assert [reply.status for reply in refused] == [503] * 3
+    assert {reply.document["code"] for reply in refused} == {"entry_stopping"}
+    assert {reply.document["outcome"] for reply in refused} == {"not-run"}
+    assert not stop.done()
+    resume.set()
+    assert (await first).status == 200
+    assert await stop is True
+    assert len(server.requests) == 1
+
+
 async def test_new_limits_of_a_route_are_in_force(harness: Any, builders: Any) -> None:
     """Guards against limits that ignore a change of the configuration."""
     server, resume = await start_blocked_server(harness, builders)
--- a/packages/medlarpass-daemon/tests/settings/test_settings_loader.py
+++ b/packages/medlarpass-daemon/tests/settings/test_settings_loader.py
@@ -11,6 +11,7 @@
 
 from medlarpass_daemon.settings import SettingsError
 from medlarpass_daemon.settings import load_settings
+from medlarpass_daemon.settings.stop import StopSettings
 
 ENTRY = {
     "name": "entry-1",
@@ -80,6 +81,18 @@
     assert settings.log_file == "-"
 
 
+def test_a_stop_ends_before_the_process_is_killed() -> None:
+    """Guards against requests that are cut off although the platform would wait longer for them.
+
+    With a grace of 10 s requests were cut off after 5.5 s.
+    """
+    document = {"balancer_wait": 2.5, "finish_within": 3600.0}
+    for grace, expected in ((6.0, 3.0), (10.0, 7.0), (1.0, 0.0)):
+        settings = StopSettings(document | {"killed_after": grace})
+        assert settings.finish_within == pytest.approx(expected)
+    assert StopSettings(document).finish_within == 3600.0
+
+
 def test_control_gets_its_paths(tmp_path) -> None:
     settings = load_document(tmp_path, CONTROL)
     assert settings.entry is None
