Pause after an update of the feed in proportion to its cost

Change: after an update the leader pauses for four times its duration, at least 0.02 s as before and at most 0.2 s.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_updater.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_updater.py
@@ -34,6 +34,9 @@
 MAX_STALENESS_SECONDS = 1.6
 #: Minimum interval of the updates of the feed, which combines changes in quick succession.
 MIN_REFRESH_INTERVAL_SECONDS = 0.02
+#: Pause after an update of the feed, as a ratio of the time that it took, so that a leader with
+#: many ranges or little processor time has time for its followers.
+REFRESH_PAUSE_RATIO = 4.0
 #: Interval at which the leader updates the feed without a change.
 MAX_REFRESH_INTERVAL_SECONDS = 0.2
 #: Delay before the next attempt while there is no leader to follow.
@@ -126,9 +129,12 @@
     async def _lead(self) -> None:
         while self.is_leading:
             changed = self.fleet.changed
+            started_at = self.clock.now()
             self.refresh()
-            await asyncio.sleep(MIN_REFRESH_INTERVAL_SECONDS)
-            await wait_until_set(changed, MAX_REFRESH_INTERVAL_SECONDS)
+            pause = REFRESH_PAUSE_RATIO * (self.clock.now() - started_at)
+            pause = min(max(pause, MIN_REFRESH_INTERVAL_SECONDS), MAX_REFRESH_INTERVAL_SECONDS)
+            await asyncio.sleep(pause)
+            await wait_until_set(changed, MAX_REFRESH_INTERVAL_SECONDS - pause)
 
     def refresh(self) -> None:
         """Update the feed from the state of this replica, which leads."""
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -246,7 +246,9 @@
     ) -> Iterable[tuple[RangeAssignment, fleet_pb2.RangePhase]]:
         phase = HELD if assignment.fence in self.confirmed_fences else MOVING
         yield from ((part, phase) for part in self.parts_not_moving(assignment))
-        moving = self.moving.get(assignment.pool, KeyIntervals())
+        moving = self.moving.get(assignment.pool)
+        if moving is None:
+            return
         for first_moving, last_moving in moving.overlapping(assignment.first, assignment.last):
             first, last = max(first_moving, assignment.first), min(last_moving, assignment.last)
             yield assignment.with_bounds(first, last), MOVING
