Let entries wait at a replica that can't serve yet

Cause: a replica without a recent leader refused entries at once, and each of them asked again several times a second, at all replicas. Entries without a replica in their domain tried the others in the same order. Change: a request of an entry that has a view waits for up to 2 s until the replica can serve; entries try all replicas in an order of their own. Both tests failed before.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_updater.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_updater.py
@@ -66,6 +66,7 @@
         "newest_publication",
         "own_source",
         "settings",
+        "updated",
         "updated_at",
     )
 
@@ -87,6 +88,8 @@
         )
         #: Time of the last update from the leader, which may be this replica.
         self.updated_at = -math.inf
+        #: Set and replaced on each update from the leader.
+        self.updated = asyncio.Event()
         #: Whether this replica has forwarded updates of a leader since it last lost one.
         self.is_relaying = False
         self.newest_publication = NewestPublication(fleet, clock)
@@ -140,7 +143,12 @@
         """Update the feed from the state of this replica, which leads."""
         members = self.log.replica.membership.members
         self.fleet.update_feed([member.address for member in members], self.own_source)
+        self._record_update()
+
+    def _record_update(self) -> None:
         self.updated_at = self.clock.now()
+        self.updated.set()
+        self.updated = asyncio.Event()
 
     async def _relay(self, address: str) -> None:
         """Apply updates of the leader until the stream fails or it no longer leads."""
@@ -195,4 +203,4 @@
             feed.set_servers(servers.values())
         if ranges.apply(update):
             feed.set_ranges(ranges.all())
-        self.updated_at = self.clock.now()
+        self._record_update()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -36,6 +36,12 @@
 RELAY_MIN_UPDATE_INTERVAL_SECONDS = 0.02
 
 
+#: Maximum time for which an entry that has a view waits for a replica that can't serve yet. Entries
+#: without a replica would otherwise repeat their requests several times a second, which costs a
+#: late replica the time that it needs to serve again. Shorter than an entry waits for a message.
+MAX_SERVING_WAIT_SECONDS = 2.0
+
+
 class FleetService(fleet_pb2_grpc.FleetServicer):
     """Streams the state of the leader to entries and relays, and receives reports.
 
@@ -64,6 +70,8 @@
         self, request: fleet_pb2.WatchRequest, context: Any
     ) -> AsyncIterator[fleet_pb2.FleetUpdate]:
         """Stream updates while this replica leads or, to entries, while it follows a leader."""
+        if request.version and not request.is_relay:
+            await self._wait_until_serving(request)
         if not self._can_serve(request):
             if (
                 not request.is_relay
@@ -100,6 +108,12 @@
             self.fleet.watchers.remove_stream(request)
             events.WATCH_CLOSED.log(entry=request.entry, serves=self._can_serve(request))
 
+    async def _wait_until_serving(self, request: fleet_pb2.WatchRequest) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + MAX_SERVING_WAIT_SECONDS
+        while not self._can_serve(request) and (remaining := deadline - loop.time()) > 0:
+            await wait_until_set(self.feed.updated, remaining)
+
     def _can_serve(self, request: fleet_pb2.WatchRequest) -> bool:
         """Return whether a watcher can be served; relays are served by the leader only."""
         return self.feed.is_leader_feed if request.is_relay else self.feed.is_current
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/control_sources.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/control_sources.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from medlarpass.rpc import fleet_pb2
@@ -23,7 +24,8 @@
 class ControlSources:
     """Order in which the replicas are tried: those of the own failure domain come first.
 
-    The entries of a domain are distributed over its replicas by a hash of their names.
+    The entries are distributed over the replicas of their domain, and over all replicas, by a hash
+    of their names.
 
     :param settings: settings of the process
     :param seeds: initial addresses
@@ -51,14 +53,16 @@
         """
         if not sources:
             return
-        self.control_addresses = list(controls)
-        local_addresses = sorted(
+        self.control_addresses = self._rotated(controls)
+        self.local_addresses = self._rotated(
             source.address for source in sources if source.domain == self.settings.domain
         )
-        start = (
-            zlib.crc32(self.settings.name.encode()) % len(local_addresses) if local_addresses else 0
-        )
-        self.local_addresses = [*local_addresses[start:], *local_addresses[:start]]
+
+    def _rotated(self, addresses: Iterable[str]) -> list[str]:
+        """Return addresses in an order that differs between entries."""
+        ordered = sorted(addresses)
+        start = zlib.crc32(self.settings.name.encode()) % len(ordered) if ordered else 0
+        return [*ordered[start:], *ordered[:start]]
 
     def next_address(self) -> str:
         """Return the address to try next; all are tried in turn until one serves."""
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_service.py
@@ -15,6 +15,7 @@
 from medlarpass.ranges import RangeAssignment
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import fleet_pb2
+from medlarpass_daemon.control.fleet import fleet_service
 from medlarpass_daemon.control.fleet.feed_updater import MAX_STALENESS_SECONDS
 from medlarpass_daemon.control.fleet.feed_updater import FeedUpdater
 from medlarpass_daemon.control.fleet.fleet_feed import FleetFeed
@@ -141,6 +142,30 @@
     assert (await anext(stream)).not_leader.leader_address == "10.0.0.9:1"
 
 
+async def test_an_entry_waits_for_a_replica_that_cannot_serve_yet(
+    new_simulation: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against entries that ask replicas again and again until a leader is heard.
+
+    They asked several times a second, which took the processor time that late replicas lacked.
+    """
+    simulation = new_simulation(1)
+    relay = service_of(simulation)
+    simulation.log.replica.is_leader = False
+    stream = relay.Watch(watch(version=1), None)
+    first = asyncio.ensure_future(anext(stream))
+    await asyncio.sleep(0.05)
+    assert not first.done()
+    update = fleet_pb2.FleetUpdate(term=1, is_whole=True)
+    relay.feed._apply(update, RelayedRanges(), PublicationAssembler())
+    assert (await first).begins_whole
+    await stream.aclose()
+    simulation.clock.advance(MAX_STALENESS_SECONDS)
+    monkeypatch.setattr(fleet_service, "MAX_SERVING_WAIT_SECONDS", 0.1)
+    (refusal,) = [update async for update in relay.Watch(watch(version=1), None)]
+    assert refusal.HasField("not_leader")
+
+
 async def test_entries_stay_at_a_relay_during_an_election(new_simulation: Any) -> None:
     """Guards against all entries that turn to a new leader for whole views at its election.
 
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_control_sources.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_control_sources.py
@@ -46,6 +46,16 @@
     assert min(chosen.values()) > 8
 
 
+def test_entries_without_a_replica_in_their_domain_spread_over_the_others() -> None:
+    """Guards against one replica that gets all entries whose own replicas do not answer."""
+    chosen = set()
+    for number in range(38):
+        sources = sources_of(f"edge-{number}", domain="d9")
+        sources.set_replicas(ADDRESSES, SOURCES)
+        chosen.add(sources.next_address())
+    assert len(chosen) == len(ADDRESSES)
+
+
 def test_an_entry_leaves_another_domain_only_for_its_own() -> None:
     """Guards against entries that change replicas without a benefit."""
     sources = sources_of()
