--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -20,6 +20,7 @@
 from medlarpass_daemon.control.fleet.exceptions import NotPublishedError
 from medlarpass_daemon.control.fleet.exceptions import TooFewReplicasError
 from medlarpass_daemon.control.fleet.exceptions import UnknownPoolError
+from medlarpass_daemon.control.fleet.leave_request import LeaveRequest
 from medlarpass_daemon.exceptions import ControlUnavailableError
 from medlarpass_daemon.waiting import wait_until_set
 
@@ -51,20 +52,6 @@
 MAX_LOGGED_NAME_COUNT = 8
 
 
-class LeaveRequest:
-    """The first request of a server to leave in a term of the leader.
-
-    :param position: term and feed revision that report the leave to entries
-    :param asked_at: clock reading at the request, in seconds
-    """
-
-    __slots__ = ("asked_at", "position")
-
-    def __init__(self, position: tuple[int, int], asked_at: float) -> None:
-        self.position = position
-        self.asked_at = asked_at
-
-
 class FleetOperations:
     """Operations that only the leader serves; other replicas return its address.
 
--- a/tests/soak/test_deployed_site.py
+++ b/tests/soak/test_deployed_site.py
@@ -9,8 +9,8 @@
 
 from tools.bench.process import eventually
 from tools.soak.deployed_site import DeployedSite
-from tools.soak.deployed_site import SiteSettings
 from tools.soak.fleet_system import ROOT
+from tools.soak.site_settings import SiteSettings
 
 
 async def test_a_small_site_keeps_the_rules_while_control_is_stopped_in_turn(
--- a/tools/soak/deployed_site.py
+++ b/tools/soak/deployed_site.py
@@ -18,10 +18,12 @@
 
 import aiohttp
 
+from tools.soak.change import Change
 from tools.soak.fleet_system import ROOT
 from tools.soak.fleet_system import FleetSystem
 
 if TYPE_CHECKING:
+    from tools.soak.site_settings import SiteSettings
     from tools.soak.stand_in_server import StandInServer
 
 #: Users' limit for the confirmation of a change while nothing is disturbed.
@@ -40,61 +42,6 @@
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
-class SiteSettings:
-    """Size and load of a site; the defaults are those of anitfidan-gw-grown.
-
-    :ivar control_share: share of each 0.1 s for which control processes run
-    :ivar busy_processes: computing processes beside the site
-    :ivar extra_routes: routes that every second change adds
-    :ivar stops_controls: whether the control replicas are stopped in turn for 2.5 s
-    :ivar calm_seconds: duration of the last part of the run, in which nothing is disturbed
-    """
-
-    __slots__ = (
-        "busy_processes",
-        "calm_seconds",
-        "control_share",
-        "controls",
-        "entries",
-        "extra_routes",
-        "requests_per_second",
-        "seconds",
-        "server_counts",
-        "stops_controls",
-    )
-
-    def __init__(self, **values: Any) -> None:
-        self.controls = 4
-        self.entries = 73
-        self.server_counts = {"stock": 124, "orders": 52, "art": 11}
-        self.requests_per_second = 70.0
-        self.control_share = 1.0
-        self.busy_processes = 0
-        self.extra_routes = 0
-        self.stops_controls = False
-        self.seconds = 40.0
-        self.calm_seconds = 20.0
-        for name, value in values.items():
-            setattr(self, name, value)
-
-
-class Change:
-    """A changed configuration, from the first call of the operator to its confirmation."""
-
-    __slots__ = ("began_at", "confirmed_at", "is_calm", "version")
-
-    def __init__(self, version: int) -> None:
-        self.version = version
-        self.began_at = time.monotonic()
-        self.confirmed_at: float | None = None
-        #: Whether nothing was disturbed shortly before it and until its confirmation.
-        self.is_calm = False
-
-    def seconds(self, now: float) -> float:
-        """Return the seconds from the first call to the confirmation, or until now."""
-        return (now if self.confirmed_at is None else self.confirmed_at) - self.began_at
-
-
 class DeployedSite(FleetSystem):
     """Processes, servers, callers and the operator of a site.
 
--- a/tools/soak/play_site.py
+++ b/tools/soak/play_site.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from tools.soak.deployed_site import DeployedSite
-from tools.soak.deployed_site import SiteSettings
+from tools.soak.site_settings import SiteSettings
 
 PRINTED_EVENTS = (
     "election_started",
