Release keys on an open connection if a busy server resets a new one

Change: a release that fails is repeated within its time on a connection that is open. Only responses to releases have a handover, so a late copy of another response is told apart, and the connection is closed afterwards, so that it never carries two releases.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
@@ -265,7 +265,18 @@
         member = self.fleet.directory.members.get(part.identity)
         if member is None or member.heartbeat.incarnation < part.incarnation:
             raise ServerNotReachedError(f"{part.identity} is no longer known")
-        return await self.calls.release(member.heartbeat, part, RELEASE_TIMEOUT_SECONDS)
+        deadline = self.clock.now() + RELEASE_TIMEOUT_SECONDS
+        try:
+            return await self.calls.release(
+                member.heartbeat, part, RELEASE_TIMEOUT_SECONDS, shares_connection=False
+            )
+        except ServerCallError:
+            remaining = deadline - self.clock.now()
+            if remaining <= 0:
+                raise
+        # A busy server accepts no new connection, and without its release the keys would have no
+        # owner until their grant expires. A release may be repeated.
+        return await self.calls.release(member.heartbeat, part, remaining, shares_connection=True)
 
     async def _grant_first(self, assignment: RangeAssignment, handover: str) -> None:
         try:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/server_calls.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/server_calls.py
@@ -46,12 +46,17 @@
         ...
 
     async def release(
-        self, server: ServerHeartbeat, assignment: RangeAssignment, timeout: float
+        self,
+        server: ServerHeartbeat,
+        assignment: RangeAssignment,
+        timeout: float,
+        shares_connection: bool,
     ) -> str:
         """Release keys at a server, which responds once it has finished their requests.
 
         Nothing but the response to this call may count as one.
 
+        :param shares_connection: whether a connection that is open may be used
         :returns: handover that lets the next owner take over without a cold start
         :raises ServerCallError: the server may still run requests for the keys
         """
--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -60,6 +60,8 @@
         self.sequence = 0
         self.is_up = True
         self.is_unreachable = False
+        #: Whether it serves the connections that are open only, as a busy server does.
+        self.resets_new_connections = False
         #: Time until which heartbeats do not arrive.
         self.silent_until = 0.0
         self.warmup_seconds = 0.0
@@ -184,8 +186,16 @@
             raise ServerCallLostError(server.identity)
         target.receive_grant(assignment)
 
-    async def release(self, server: ServerHeartbeat, assignment: RangeAssignment, *_: Any) -> str:
+    async def release(
+        self,
+        server: ServerHeartbeat,
+        assignment: RangeAssignment,
+        timeout: float,
+        shares_connection: bool,
+    ) -> str:
         target = self.simulation.reach(server)
+        if target.resets_new_connections and not shares_connection:
+            raise ServerCallLostError(server.identity)
         if self.simulation.rng.random() < self.simulation.loss_ratio / 2:
             raise ServerCallLostError(server.identity)
         target.release(assignment)
--- a/tests/platform_adapter/test_platform_server_calls.py
+++ b/tests/platform_adapter/test_platform_server_calls.py
@@ -98,7 +98,7 @@
     server: FakeServer, calls: PlatformServerCalls
 ) -> None:
     """Guards against a lost handover, after which the next owner starts with cold caches."""
-    assert await calls.release(server.heartbeat(), ASSIGNMENT, 20) == "5c0e"
+    assert await calls.release(server.heartbeat(), ASSIGNMENT, 20, False) == "5c0e"
     assert server.calls == [("/api/release", {"from": 4096, "to": 8191, "fence": 12})]
 
 
@@ -148,7 +148,7 @@
     with pytest.raises(GrantOutdatedError):
         await calls.grant(server.heartbeat(), ASSIGNMENT, 4.0, "", 20, needs_proof, lambda: False)
     assert len(server.calls) == 1
-    await calls.release(server.heartbeat(), ASSIGNMENT, 20)
+    await calls.release(server.heartbeat(), ASSIGNMENT, 20, False)
     assert len(server.calls) == 2
 
 
@@ -194,7 +194,33 @@
     for needs_proof in (False, True):
         await calls.grant(heartbeat, ASSIGNMENT, 4.0, "", 20, needs_proof, is_in_force)
     for _ in range(2):
-        assert await calls.release(heartbeat, ASSIGNMENT, 20) == "5c0e"
+        assert await calls.release(heartbeat, ASSIGNMENT, 20, False) == "5c0e"
+    assert server.server is not None
+    server.server.close()
+
+
+async def test_a_release_on_a_shared_connection_is_its_last_call(
+    server: FakeServer, calls: PlatformServerCalls
+) -> None:
+    """Guards against a copy of the response to one release that confirms another one."""
+    await calls.grant(server.heartbeat(), ASSIGNMENT, 4.0, "", 20, False, is_in_force)
+    assert await calls.release(server.heartbeat(), ASSIGNMENT, 20, True) == "5c0e"
+    assert len(server.peers) == 1
+    await calls.grant(server.heartbeat(), ASSIGNMENT, 4.0, "", 20, False, is_in_force)
+    assert len(server.peers) == 2
+
+
+async def test_a_copy_of_another_response_does_not_confirm_a_release_on_a_shared_connection(
+    calls: PlatformServerCalls,
+) -> None:
+    """Guards against keys that are given away while their server still works on them."""
+    server = RepeatingServer()
+    await server.start()
+    heartbeat = FakeServer().heartbeat(server.port)
+    await calls.grant(heartbeat, ASSIGNMENT, 4.0, "", 20, False, is_in_force)
+    with pytest.raises(ServerCallLostError):
+        await calls.release(heartbeat, ASSIGNMENT, 20, True)
+    assert server.connections == 1
     assert server.server is not None
     server.server.close()
 
