Report the demand for pools and send plans for traffic

Cause: no process knows how many requests all entries get for a pool, and the leader has no message for decisions on traffic, so each of dozens of entries limits and distributes requests by what it sees itself.

Counting is on with fleet.domain_routing or fleet.pool_admission, both off by default; nothing fills the plan yet.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_updater.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/feed_updater.py
@@ -195,6 +195,9 @@
         feed.set_header(update.term, update.entries, update.mark)
         if update.sources:
             feed.set_sources(list(update.controls), list(update.sources))
+        if update.HasField("traffic") or update.is_whole:
+            # The first update of a leader without a plan ends that of the previous leader.
+            feed.set_traffic(update.traffic)
         if update.is_whole or update.servers or update.gone:
             servers = {} if update.is_whole else dict(feed.servers.items)
             for identity in update.gone:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_feed.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_feed.py
@@ -31,7 +31,7 @@
     :param publication: version of the publication that is in force at the watcher
     """
 
-    __slots__ = ("publication", "ranges", "servers", "sources", "transfer")
+    __slots__ = ("publication", "ranges", "servers", "sources", "traffic", "transfer")
 
     def __init__(self, publication: int) -> None:
         self.publication = publication
@@ -41,6 +41,7 @@
         self.servers: int | None = None
         self.ranges: int | None = None
         self.sources: int | None = None
+        self.traffic: int | None = None
 
     @property
     def position(self) -> tuple[int | None, ...]:
@@ -48,7 +49,15 @@
         version, part = 0, 0
         if self.transfer:
             version, part = self.transfer[0].version, self.transfer[0].part
-        return self.publication, version, part, self.servers, self.ranges, self.sources
+        return (
+            self.publication,
+            version,
+            part,
+            self.servers,
+            self.ranges,
+            self.sources,
+            self.traffic,
+        )
 
     @property
     def has_more(self) -> bool:
@@ -76,6 +85,8 @@
         "sources",
         "sources_version",
         "term",
+        "traffic",
+        "traffic_version",
     )
 
     def __init__(self) -> None:
@@ -88,6 +99,10 @@
         self.controls: list[str] = []
         #: Incremented with each change of ``sources`` or ``controls``.
         self.sources_version = 0
+        #: Decisions of the leader on the traffic.
+        self.traffic = fleet_pb2.TrafficPlan()
+        #: Incremented with each change of ``traffic``.
+        self.traffic_version = 0
         #: Term of the leader.
         self.term = 0
         #: State of the leader, within its term, that this feed contains; 0 while that is not known.
@@ -130,6 +145,13 @@
             self.sources_version += 1
             self.wake_watchers()
 
+    def set_traffic(self, plan: fleet_pb2.TrafficPlan) -> None:
+        """Replace the decisions on the traffic."""
+        if plan != self.traffic:
+            self.traffic = plan
+            self.traffic_version += 1
+            self.wake_watchers()
+
     def set_header(self, term: int, entry_count: int, feed_revision: int) -> None:
         """Replace the values in every update; this alone does not wake watchers.
 
@@ -188,7 +210,7 @@
 
     def _advance(self, cursor: WatchCursor) -> None:
         cursor.servers, cursor.ranges = self.servers.version, self.ranges.version
-        cursor.sources = self.sources_version
+        cursor.sources, cursor.traffic = self.sources_version, self.traffic_version
 
     def _is_last_update(self, cursor: WatchCursor) -> bool:
         """Return whether the next update brings a watcher to the state of this feed."""
@@ -201,6 +223,9 @@
         if cursor.sources != self.sources_version:
             update.controls.extend(self.controls)
             update.sources.extend(self.sources)
+        # A watcher without a plan has no limits, which an empty plan would not change.
+        if cursor.traffic != self.traffic_version and (cursor.traffic or self.traffic_version):
+            update.traffic.CopyFrom(self.traffic)
         return update
 
     def _build_update(self, cursor: WatchCursor) -> fleet_pb2.FleetUpdate:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -131,6 +131,8 @@
         self.fleet.watchers.record_report(request)
         for load in request.loads:
             self.fleet.loads_of(load.pool).add(load.keys, load.requests)
+        for demand in request.demands:
+            self.fleet.demands.add(demand)
         for reported in request.times:
             self.fleet.speeds.add(reported.identity, reported.answers, reported.milliseconds / 1000)
             self.fleet.weights.add(
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.dispatch import PoolDemands
 from medlarpass.dispatch import ServerWeights
 from medlarpass.fleet import FleetDirectory
 from medlarpass.fleet import ServerHeartbeat
@@ -45,6 +46,7 @@
         "changed",
         "clock",
         "confirmed_fences",
+        "demands",
         "directory",
         "feed",
         "has_new_ranges",
@@ -60,6 +62,7 @@
         "publication_feed_revision",
         "speeds",
         "state",
+        "traffic_plan",
         "watchers",
         "weights",
     )
@@ -72,6 +75,10 @@
         self.speeds = ServerSpeeds()
         #: Weights of the servers of pools without owners.
         self.weights = ServerWeights()
+        #: Requests that entries get for each pool.
+        self.demands = PoolDemands()
+        #: Decisions on the traffic, as sent to entries.
+        self.traffic_plan = fleet_pb2.TrafficPlan()
         #: Fences of the assignments that their servers have confirmed.
         self.confirmed_fences: set[int] = set()
         #: First and last keys of the moves in progress, by pool.
@@ -107,6 +114,8 @@
         self.loads.clear()
         self.speeds = ServerSpeeds()
         self.weights = ServerWeights()
+        self.demands = PoolDemands()
+        self.traffic_plan = fleet_pb2.TrafficPlan()
         self.led_term = term
         self.led_at = self.clock.now()
         self.publication_feed_revision = self.feed.feed_revision + 1
@@ -172,6 +181,7 @@
         if self.has_new_ranges:
             self.feed.set_ranges(self.ranges())
             self.has_new_ranges = False
+        self.feed.set_traffic(self.traffic_plan)
         self.feed.set_sources(controls, [own_source, *self.watchers.sources()])
         self.feed.set_header(self.led_term, self.watchers.entry_count, feed_revision)
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
@@ -8,6 +8,7 @@
 
 import grpc
 
+from medlarpass.dispatch import DemandCounter
 from medlarpass.ranges import KeyLoads
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
@@ -33,12 +34,13 @@
     :param channels: gRPC channels
     """
 
-    __slots__ = ("channels", "feed", "loads", "response_times", "urgent")
+    __slots__ = ("channels", "demands", "feed", "loads", "response_times", "urgent")
 
     def __init__(self, feed: FeedUpdater, channels: RpcChannels) -> None:
         self.feed = feed
         self.channels = channels
         self.loads = KeyLoads()
+        self.demands = DemandCounter()
         #: Number of responses and the sum of their milliseconds, by server.
         self.response_times: dict[str, tuple[int, int]] = {}
         #: Set when the confirmation of a change may be waiting for the next report.
@@ -48,6 +50,8 @@
         """Add the report of an entry."""
         for load in report.loads:
             self.loads.add(load)
+        for demand in report.demands:
+            self.demands.add(demand)
         for reported in report.times:
             count, total = self.response_times.get(reported.identity, (0, 0))
             self.response_times[reported.identity] = (
@@ -89,6 +93,7 @@
             term=term,
             mark=feed_revision,
             loads=self.loads.pop_counts(),
+            demands=self.demands.pop_counts(),
             times=[
                 fleet_pb2.ServerTime(identity=identity, answers=count, milliseconds=total)
                 for identity, (count, total) in response_times.items()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -229,6 +229,7 @@
         code: str | None = None
         try:
             request = read_request(web_request, request_id, self.context)
+            self.context.count_demand(request)
             response = await handle(request, self.context)
             if not request.is_truncated:
                 outcome = Outcome.RUN
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
@@ -18,7 +18,9 @@
     from collections.abc import Set
 
     from medlarpass import Clock
+    from medlarpass.dispatch import DemandCounter
     from medlarpass.dispatch import RetryBudgetSettings
+    from medlarpass_daemon.entry.callers.caller_request import CallerRequest
     from medlarpass_daemon.entry.callers.dialect import Dialect
     from medlarpass_daemon.entry.callers.interfaces import OrderClaims
     from medlarpass_daemon.entry.callers.interfaces import OwnerDirectory
@@ -51,6 +53,7 @@
         "claims",
         "client",
         "clock",
+        "demands",
         "dialect",
         "domain",
         "is_draining",
@@ -97,12 +100,19 @@
         self.client = ServerClient(settings, self.notices)
         self.claim_recorder = ClaimRecorder(claims)
         self.owner_watch = OwnerWatch()
+        #: Counts requests until the next report to control; None if nothing is reported.
+        self.demands: DemandCounter | None = None
         #: Tasks of the orders in flight, which may outlive the connections of their callers.
         self.order_tasks: set[asyncio.Task[object]] = set()
         self.is_draining = False
         #: Returns the seconds since the last update from control, if the entry follows control.
         self.view_age: Callable[[], float | None] = lambda: None
 
+    def count_demand(self, request: CallerRequest) -> None:
+        """Count a request of a caller for the next report to control."""
+        if self.demands is not None:
+            self.demands.count(request.pool.name, self.domain, request.route.priority)
+
     def retain(self, servers: Set[str], routes: Set[str]) -> None:
         """Drop the state of servers that left and of routes that were deleted.
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/entry_reports.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/entry_reports.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from medlarpass.dispatch import DemandCounter
     from medlarpass.ranges import KeyLoads
     from medlarpass_daemon.entry.fleet.fleet_watcher import FleetWatcher
     from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
@@ -34,9 +35,10 @@
     :param loads: loads to report
     :param take_response_times: returns the count and total seconds of responses by server since
         the last call
+    :param demands: requests for each pool to report; None to report none
     """
 
-    __slots__ = ("loads", "publication_age", "take_response_times", "watcher")
+    __slots__ = ("demands", "loads", "publication_age", "take_response_times", "watcher")
 
     def __init__(
         self,
@@ -44,10 +46,12 @@
         publication_age: PublicationAge,
         loads: KeyLoads,
         take_response_times: Callable[[], dict[str, tuple[int, float]]],
+        demands: DemandCounter | None = None,
     ) -> None:
         self.watcher = watcher
         self.publication_age = publication_age
         self.loads = loads
+        self.demands = demands
         self.take_response_times = take_response_times
 
     async def run(self) -> None:
@@ -80,6 +84,7 @@
         return fleet_pb2.EntryReport(
             entry=self.watcher.settings.name,
             loads=self.loads.pop_counts(),
+            demands=self.demands.pop_counts() if self.demands is not None else (),
             times=[
                 fleet_pb2.ServerTime(
                     identity=identity, answers=count, milliseconds=round(seconds * 1000)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -6,6 +6,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.dispatch import DemandCounter
 from medlarpass.ranges import KeyLoads
 from medlarpass_daemon.entry.callers import CallersServer
 from medlarpass_daemon.entry.callers.metrics import CallersMetrics
@@ -16,6 +17,7 @@
 from medlarpass_daemon.entry.fleet.no_claims import NoClaims
 from medlarpass_daemon.entry.fleet.no_peers import NoPeers
 from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
+from medlarpass_daemon.entry.fleet.traffic_view import TrafficView
 from medlarpass_daemon.supervision import supervise
 
 if TYPE_CHECKING:
@@ -58,6 +60,7 @@
         "servers",
         "settings",
         "tasks",
+        "traffic",
         "watcher",
     )
 
@@ -98,9 +101,16 @@
             lambda: self.routing.revision,
             channels,
         )
+        if settings.fleet.domain_routing or settings.fleet.pool_admission:
+            self.callers.context.demands = DemandCounter()
         self.reports = EntryReports(
-            self.watcher, age, loads, self.callers.context.server_selector.take_latencies
+            self.watcher,
+            age,
+            loads,
+            self.callers.context.server_selector.take_latencies,
+            self.callers.context.demands,
         )
+        self.traffic = TrafficView(clock)
         self.tasks: list[asyncio.Task[None]] = []
 
     def add_services(self, server: grpc.aio.Server) -> None:
@@ -142,6 +152,7 @@
         self.callers.context.client.connection_budget.set_entry_count(self.watcher.entry_count)
         self.callers.context.server_selector.set_entry_count(self.watcher.entry_count)
         self.servers.apply(update)
+        self.traffic.apply(update)
         if self.routing.revision and self.servers.is_complete:
             self.readiness.clear(NO_PUBLICATION)
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
@@ -24,10 +24,12 @@
     __slots__ = (
         "adapter",
         "apply_within",
+        "domain_routing",
         "first_start",
         "heartbeat",
         "hold",
         "listener",
+        "pool_admission",
         "retry_ratio",
         "seeds",
         "silent_after",
@@ -50,6 +52,10 @@
         self.silent_after: int = document["silent_after"]
         #: Lease of a grant: time for which a server holds its keys unless the grant is renewed.
         self.hold: float = min(document["hold"], document["longest_hold"])
+        #: Whether control decides which share of the requests leaves its failure domain.
+        self.domain_routing: bool = document["domain_routing"]
+        #: Whether control limits the requests for a pool that is asked for more than it can serve.
+        self.pool_admission: bool = document["pool_admission"]
         #: Retry budget: retries as a ratio of all requests of a pool.
         self.retry_ratio: float = document["retry_ratio"]
 
--- a/packages/medlarpass/src/medlarpass/dispatch/__init__.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/__init__.py
@@ -15,6 +15,7 @@
 from medlarpass.dispatch.concurrency_limiter import ConcurrencyLimiter
 from medlarpass.dispatch.connection_budget import ConnectionBudget
 from medlarpass.dispatch.deadline_queue import DeadlineQueue
+from medlarpass.dispatch.demand_counter import DemandCounter
 from medlarpass.dispatch.ejector import EjectionRecord
 from medlarpass.dispatch.ejector import Ejector
 from medlarpass.dispatch.exceptions import DeadlineTooCloseError
@@ -31,6 +32,7 @@
 from medlarpass.dispatch.hot_key_sketch import HotKeySketch
 from medlarpass.dispatch.pause_monitor import PauseMonitor
 from medlarpass.dispatch.peer_loads import PeerLoads
+from medlarpass.dispatch.pool_demands import PoolDemands
 from medlarpass.dispatch.request_kinds import Download
 from medlarpass.dispatch.request_kinds import Enquiry
 from medlarpass.dispatch.request_kinds import Order
@@ -67,6 +69,7 @@
     "ConcurrencyLimiter",
     "ConnectionBudget",
     "DeadlineQueue",
+    "DemandCounter",
     "DeadlineTooCloseError",
     "DetectorSettings",
     "DispatchError",
@@ -89,6 +92,7 @@
     "Order",
     "PauseMonitor",
     "PeerLoads",
+    "PoolDemands",
     "QueueFullError",
     "QueueSettings",
     "RandomBalancer",
--- a/packages/medlarpass/src/medlarpass/tables/route.py
+++ b/packages/medlarpass/src/medlarpass/tables/route.py
@@ -41,6 +41,8 @@
     )
     #: Maximum number of servers that one request is sent to.
     max_attempts: int = DEFAULT_MAX_ATTEMPT_COUNT
+    #: Priority among the routes of a pool; 0 is the highest.
+    priority: int = 0
     #: Target latency in seconds, None when the route has none.
     target_latency: float | None = None
     #: Whether requests to pools without key ownership may lack the key.
