--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
@@ -23,6 +23,7 @@
 from medlarpass_daemon.control.fleet.membership_manager import MembershipManager
 from medlarpass_daemon.control.fleet.range_keeper import RangeKeeper
 from medlarpass_daemon.control.fleet.report_relay import ReportRelay
+from medlarpass_daemon.control.fleet.traffic_planner import TrafficPlanner
 from medlarpass_daemon.control.operators import OperatorsServer
 from medlarpass_daemon.control.operators_backend import OperatorsBackend
 from medlarpass_daemon.control.replica_log import ReplicaLog
@@ -71,6 +72,7 @@
         "log",
         "loop_monitor",
         "membership_manager",
+        "metrics",
         "operators_server",
         "poller",
         "range_keeper",
@@ -102,6 +104,7 @@
         self.log = ReplicaLog(self.replica, self.state, WallClock())
         self.delegator = Delegator(self.log, clock)
         self.configuration_reports = ConfigurationReports(clock)
+        self.metrics = metrics
         self.poller = StatusPoller(self.replica, channels, metrics)
         self.loop_monitor = LoopMonitor(metrics, clock)
         backend = OperatorsBackend(self.log, self.poller, channels, clock)
@@ -125,6 +128,9 @@
         self.range_keeper = RangeKeeper(
             self.log, self.fleet, self.server_calls, settings, lease, clock
         )
+        self.range_keeper.traffic_planner = TrafficPlanner(
+            self.fleet, settings, clock, self.metrics
+        )
         self.membership_manager = MembershipManager(
             self.replica,
             self.control,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -25,6 +25,7 @@
     from medlarpass.fleet import ServerHeartbeat
     from medlarpass_daemon.control.fleet.fleet_state import FleetState
     from medlarpass_daemon.control.fleet.server_calls import ServerCalls
+    from medlarpass_daemon.control.fleet.traffic_planner import TrafficPlanner
     from medlarpass_daemon.control.replica_log import ReplicaLog
     from medlarpass_daemon.settings import FleetSettings
 
@@ -71,6 +72,7 @@
         "log",
         "moves",
         "settings",
+        "traffic_planner",
     )
 
     def __init__(
@@ -90,6 +92,8 @@
         fleet.lease = self.lease
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
+        #: Decides on the traffic of all pools; set by the role.
+        self.traffic_planner: TrafficPlanner | None = None
         self.leading_since = 0.0
         #: Highest number of servers seen in a pool without owners, and when it was reached.
         self.join_progress: dict[str, tuple[int, float]] = {}
@@ -115,6 +119,8 @@
         self.lease.start_term()
         self.fleet.start_term(self.lease.term)
         self.grants.start_term()
+        if self.traffic_planner is not None:
+            self.traffic_planner.start_term()
 
     async def step(self) -> None:
         """Check once which keys have to be granted, moved or renewed."""
@@ -147,6 +153,8 @@
             for task in running:
                 task.cancel()
             self.fleet.end_term()
+            if self.traffic_planner is not None:
+                self.traffic_planner.end_term()
             self.moves.stop()
             self.grants.stop()
             events.KEEPER_STOPPED.log(term=self.lease.term)
@@ -159,6 +167,8 @@
             self.fleet.speeds.apply_decay()
             self.fleet.demands.apply_decay()
             self.fleet.update_weights()
+            if self.traffic_planner is not None:
+                self.traffic_planner.update()
 
     async def _reconcile_pool(self, pool: str) -> None:
         assigned = self.fleet.state.ranges.pools.get(pool, [])
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -29,8 +29,10 @@
 from medlarpass_daemon.entry.callers.route_refresh import refresh_route
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
+    from medlarpass_daemon.entry.callers.domain_router import DomainRouter
     from medlarpass_daemon.entry.callers.interfaces import Target
     from medlarpass_daemon.entry.callers.owner_watch import WatchedAttempt
     from medlarpass_daemon.entry.callers.request_context import RequestContext
@@ -101,6 +103,8 @@
     watched = _watch_owner(request, context, permit.target)
     try:
         exchange = _build_exchange(context, request, permit.target, pool)
+        if context.domain_router is not None and request.owned_key is None:
+            exchange.keeps_connection = context.domain_router.keeps_connections(pool, permit.target)
         response = await context.client.send(exchange)
         permit.headers_received()
         body_start = await response.prefetch(prefetch)
@@ -146,6 +150,10 @@
             refresh_route(context, request)
             return context.servers.available_servers(request.pool.name)
 
+        if context.domain_router is not None:
+            return await _acquire_by_domain(
+                context, context.domain_router, request, tried, usable_targets
+            )
         if isinstance(request, DownloadRequest):
             return await context.server_selector.acquire(
                 lambda: context.server_selector.prefer_domain(
@@ -173,6 +181,26 @@
     )
 
 
+async def _acquire_by_domain(
+    context: RequestContext,
+    router: DomainRouter,
+    request: CallerRequest,
+    tried: set[str],
+    usable_targets: Callable[[], Sequence[Target]],
+) -> ServerPermit:
+    domain = router.next_domain(request.pool.name)
+
+    def preferred_targets() -> Sequence[Target]:
+        targets = usable_targets()
+        return router.prefer(request.pool.name, domain, targets, tried)
+
+    permit = await context.server_selector.acquire(
+        preferred_targets, tried, request.deadline, request.route.target_latency
+    )
+    router.record(request.pool.name, domain, permit.target)
+    return permit
+
+
 async def _wait_for_owner(context: RequestContext, request: CallerRequest, key: str) -> Target:
     wait_until = context.clock.now() + context.settings.owner_wait
     while True:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/connector.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/connector.py
@@ -176,7 +176,7 @@
         protocol = cast("ServerProtocol", connection.protocol)
         exchange.protocol = protocol
         protocol.begin_exchange()
-        connection.add_callback(partial(self._on_released, protocol))
+        connection.add_callback(partial(self._on_released, protocol, exchange))
         return connection
 
     async def wait_until_unused(self) -> None:
@@ -185,8 +185,10 @@
             self.unused_event = asyncio.Event()
             await self.unused_event.wait()
 
-    def _on_released(self, protocol: ServerProtocol) -> None:
+    def _on_released(self, protocol: ServerProtocol, exchange: Exchange) -> None:
         protocol.end_exchange()
+        if not exchange.keeps_connection:
+            protocol.force_close()
         self.in_use_count -= 1
         if self.unused_event is not None and not self.in_use_count:
             self.unused_event.set()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exchange.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exchange.py
@@ -42,6 +42,7 @@
         "has_connection",
         "headers",
         "is_unsent",
+        "keeps_connection",
         "method",
         "path",
         "protocol",
@@ -77,6 +78,8 @@
         #: Whether the attempt ended before it had a connection, which proves that no byte was sent.
         #: Without this proof, the outcome counts as unknown.
         self.is_unsent = False
+        #: Whether the connection is kept for later requests.
+        self.keeps_connection = True
         #: Connection on which the request was sent.
         self.protocol: ServerProtocol | None = None
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
@@ -25,6 +25,7 @@
     """
 
     __slots__ = (
+        "domain_attempts",
         "in_flight",
         "labelled",
         "latency",
@@ -53,6 +54,12 @@
         self.retries = Counter(
             "medlarpass_retries", "Further attempts at servers", ("route",), registry=registry
         )
+        self.domain_attempts = Counter(
+            "medlarpass_domain_attempts",
+            "Attempts at servers of pools without owners, by the domain of the server",
+            ("pool", "domain", "choice"),
+            registry=registry,
+        )
         self.in_flight = Gauge(
             "medlarpass_requests_in_flight", "Requests that have not ended", registry=registry
         )
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
@@ -22,6 +22,7 @@
     from medlarpass.dispatch import RetryBudgetSettings
     from medlarpass_daemon.entry.callers.caller_request import CallerRequest
     from medlarpass_daemon.entry.callers.dialect import Dialect
+    from medlarpass_daemon.entry.callers.domain_router import DomainRouter
     from medlarpass_daemon.entry.callers.interfaces import OrderClaims
     from medlarpass_daemon.entry.callers.interfaces import OwnerDirectory
     from medlarpass_daemon.entry.callers.interfaces import PeerLoads
@@ -56,6 +57,7 @@
         "demands",
         "dialect",
         "domain",
+        "domain_router",
         "is_draining",
         "metrics",
         "notices",
@@ -102,6 +104,9 @@
         self.owner_watch = OwnerWatch()
         #: Counts requests until the next report to control; None if nothing is reported.
         self.demands: DemandCounter | None = None
+        #: Chooses the domain of requests to pools without owners; None if only downloads have a
+        #: preference.
+        self.domain_router: DomainRouter | None = None
         #: Tasks of the orders in flight, which may outlive the connections of their callers.
         self.order_tasks: set[asyncio.Task[object]] = set()
         self.is_draining = False
@@ -122,6 +127,8 @@
         :param routes: names of the routes in force
         """
         self.admission.retain(routes)
+        if self.domain_router is not None:
+            self.domain_router.retain(set(self.routing.pools))
         for identity in self.client.connectors.keys() - servers:
             self.client.forget(identity)
         for identity in self.server_selector.known_identities() - servers:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
@@ -18,6 +18,7 @@
 from medlarpass.dispatch import LimiterSettings
 from medlarpass.dispatch import NoServerError
 from medlarpass.dispatch import SharedServerLimiter
+from medlarpass.dispatch import SubsetBalancer
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
 from medlarpass_daemon.entry.callers.exceptions import ServersLeavingError
@@ -100,6 +101,7 @@
         "latency_totals",
         "limiters",
         "loop_lag",
+        "many_entries_choices",
         "max_pause_wait",
         "max_wait",
         "notices",
@@ -119,13 +121,15 @@
         self.max_wait = max_wait
         self.notices = notices or ServerNotices(clock, math.inf)
         self.max_pause_wait = max_pause_wait
-        self.balancer = Balancer(BalancerSettings(), clock, random.Random())
+        self.balancer: Balancer = Balancer(BalancerSettings(), clock, random.Random())
         # The balancer only calls in_flight().
         self.balancer.peers = cast("ReportedLoads", peer_loads)
         self.ejector = Ejector(EjectorSettings(), clock)
         self.loop_lag = LoopLag(clock)
         #: Number of entries that send to the servers, 0 while unknown.
         self.entry_count = 0
+        #: Number of servers that are compared for a request if there are many entries.
+        self.many_entries_choices = MANY_ENTRIES_CHOICE_COUNT
         #: Response count and sum of latencies in seconds since the last report, by identity.
         self.latency_totals: dict[str, tuple[int, float]] = {}
         #: Clock reading until which a server receives no requests, by identity.
@@ -142,9 +146,16 @@
         self.entry_count = entry_count
         default_choices = BalancerSettings().choices
         self.balancer.settings.choices = (
-            MANY_ENTRIES_CHOICE_COUNT if entry_count >= MANY_ENTRIES_COUNT else default_choices
+            self.many_entries_choices if entry_count >= MANY_ENTRIES_COUNT else default_choices
         )
 
+    def use_subset_balancer(self) -> None:
+        """Choose among a subset of the servers; called before the first request."""
+        peers = self.balancer.peers
+        self.balancer = SubsetBalancer(BalancerSettings(), self.clock, random.Random())
+        self.balancer.peers = peers
+        self.set_entry_count(self.entry_count)
+
     async def acquire(
         self,
         candidates: Callable[[], Sequence[Target]],
@@ -208,6 +219,24 @@
         ]
         return local or targets
 
+    def accepts_attempt(self, target: Target, tried: Set[str]) -> bool:
+        """Return whether a server would most likely accept an attempt of this entry now.
+
+        :param tried: identities of servers used by earlier attempts
+        """
+        identity = target.identity
+        load = self.balancer.loads.get(identity)
+        return (
+            identity not in tried
+            and not self.ejector.is_ejected(identity)
+            and not self.notices.is_leaving(target)
+            and self.notices.accepts(target)
+            and not self.is_unresponsive(identity)
+            and not self.is_backing_off(target)
+            and (load is None or load.backoff_until <= self.clock.now())
+            and self._has_capacity(target)
+        )
+
     def _has_free_slot(self, target: Target) -> bool:
         load = self.balancer.loads.get(target.identity)
         return load is None or load.in_flight < max(target.slots // 2, 1)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -9,6 +9,7 @@
 from medlarpass.dispatch import DemandCounter
 from medlarpass.ranges import KeyLoads
 from medlarpass_daemon.entry.callers import CallersServer
+from medlarpass_daemon.entry.callers.domain_router import DomainRouter
 from medlarpass_daemon.entry.callers.metrics import CallersMetrics
 from medlarpass_daemon.entry.fleet.entry_reports import EntryReports
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
@@ -111,6 +112,16 @@
             self.callers.context.demands,
         )
         self.traffic = TrafficView(clock)
+        if settings.fleet.domain_routing:
+            context = self.callers.context
+            context.domain_router = DomainRouter(
+                settings.name,
+                settings.domain,
+                self.traffic.shares_of,
+                context.server_selector,
+                clock,
+                context.metrics,
+            )
         self.tasks: list[asyncio.Task[None]] = []
 
     def add_services(self, server: grpc.aio.Server) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/observability/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/observability/metrics.py
@@ -41,6 +41,7 @@
         "configuration_revision",
         "coordinator_lease",
         "delegated_shards",
+        "domain_share_leaving",
         "grant_changes",
         "imbalance",
         "log_lines_dropped",
@@ -106,6 +107,12 @@
         self.configuration_revision = self._gauge(
             "configuration_revision", "Revision of the configuration in force here"
         )
+        self.domain_share_leaving = self._gauge(
+            "domain_share_leaving",
+            "Share of the requests of a domain that entries send to servers of other domains",
+            "pool",
+            "domain",
+        )
         self.ready = self._gauge("ready", "1 when the process is ready")
         self.loop_lag = self._histogram(
             "event_loop_lag_seconds",
--- a/packages/medlarpass/src/medlarpass/dispatch/__init__.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/__init__.py
@@ -16,6 +16,11 @@
 from medlarpass.dispatch.connection_budget import ConnectionBudget
 from medlarpass.dispatch.deadline_queue import DeadlineQueue
 from medlarpass.dispatch.demand_counter import DemandCounter
+from medlarpass.dispatch.domain_capacity import DomainCapacity
+from medlarpass.dispatch.domain_choice import DomainChoice
+from medlarpass.dispatch.domain_flows import DomainFlows
+from medlarpass.dispatch.domain_plan import DomainShares
+from medlarpass.dispatch.domain_plan import plan_shares
 from medlarpass.dispatch.ejector import EjectionRecord
 from medlarpass.dispatch.ejector import Ejector
 from medlarpass.dispatch.exceptions import DeadlineTooCloseError
@@ -44,6 +49,8 @@
 from medlarpass.dispatch.retry_policy import RetryDecision
 from medlarpass.dispatch.retry_policy import RetryPolicy
 from medlarpass.dispatch.server_load import ServerLoad
+from medlarpass.dispatch.server_subset import ServerSubset
+from medlarpass.dispatch.server_subset import subset_size
 from medlarpass.dispatch.server_weights import ServerWeights
 from medlarpass.dispatch.settings import BalancerSettings
 from medlarpass.dispatch.settings import DetectorSettings
@@ -53,8 +60,10 @@
 from medlarpass.dispatch.settings import RetryBudgetSettings
 from medlarpass.dispatch.settings import RetrySettings
 from medlarpass.dispatch.settings import SketchSettings
+from medlarpass.dispatch.share_steps import rounded_shares
 from medlarpass.dispatch.shared_server_limiter import SharedServerLimiter
 from medlarpass.dispatch.slow_start import SlowStart
+from medlarpass.dispatch.subset_balancer import SubsetBalancer
 from medlarpass.dispatch.suspicion_agreement import ObserverReport
 from medlarpass.dispatch.suspicion_agreement import SuspicionAgreement
 from medlarpass.tables import RequestClass
@@ -73,6 +82,10 @@
     "DeadlineTooCloseError",
     "DetectorSettings",
     "DispatchError",
+    "DomainCapacity",
+    "DomainChoice",
+    "DomainFlows",
+    "DomainShares",
     "Download",
     "EjectionRecord",
     "Ejector",
@@ -107,13 +120,18 @@
     "RoundRobinBalancer",
     "RouteShare",
     "ServerLoad",
+    "ServerSubset",
     "ServerWeights",
     "SharedServerLimiter",
     "SketchSettings",
     "SlowStart",
+    "SubsetBalancer",
     "SuspicionAgreement",
     "TwoChoicesBalancer",
     "UnknownRouteError",
     "Upload",
     "kind_of",
+    "plan_shares",
+    "rounded_shares",
+    "subset_size",
 ]
