Evacuate failure domains

Cause: operators have to take all requests and keys away from the servers of a failure domain, and give them back.

Change: the control log holds the evacuated domains; the leader sends their servers with a phase of its own and moves their keys elsewhere, a bounded number at a time; entries send them nothing new and refuse what no other server can run.

--- a/packages/medlarpass-cli/src/medlarpass_cli/commands/__init__.py
+++ b/packages/medlarpass-cli/src/medlarpass_cli/commands/__init__.py
@@ -12,6 +12,7 @@
 from medlarpass_cli.commands.domains import ShowDomains
 from medlarpass_cli.commands.drain import Drain
 from medlarpass_cli.commands.drains import ShowDrains
+from medlarpass_cli.commands.evacuate import Evacuate
 from medlarpass_cli.commands.explain import Explain
 from medlarpass_cli.commands.grants import ShowGrants
 from medlarpass_cli.commands.in_force import ShowInForce
@@ -20,6 +21,7 @@
 from medlarpass_cli.commands.remove_replica import RemoveReplica
 from medlarpass_cli.commands.replace_replica import ReplaceReplica
 from medlarpass_cli.commands.replicas import ShowReplicas
+from medlarpass_cli.commands.return_domain import ReturnDomain
 from medlarpass_cli.commands.servers import ShowServers
 from medlarpass_cli.commands.show_item import ShowItem
 from medlarpass_cli.commands.undrain import Undrain
@@ -41,6 +43,8 @@
     Drain(),
     Undrain(),
     ShowDrains(),
+    Evacuate(),
+    ReturnDomain(),
     ShowReplicas(),
     ShowDomains(),
     AddReplica(),
--- a/packages/medlarpass-cli/src/medlarpass_cli/commands/drains.py
+++ b/packages/medlarpass-cli/src/medlarpass_cli/commands/drains.py
@@ -14,10 +14,10 @@
 
 
 class ShowDrains:
-    """Shows the drained servers."""
+    """Shows the drained servers and the evacuated failure domains."""
 
     name = "drains"
-    summary = "show drained servers"
+    summary = "show drained servers and evacuated failure domains"
     examples = "medlarpass --control http://127.0.0.1:7400 drains"
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
@@ -25,7 +25,13 @@
         add_stale_option(parser)
 
     async def run(self, context: Context) -> None:
-        """Show the drains."""
-        response = await context.client().read("/v1/drains", stale_query(context.arguments))
-        rows = [{"server": server} for server in response["servers"]]
-        context.output.write_rows(["server"], rows, response)
+        """Show the drains, and the evacuations if there are any."""
+        query = stale_query(context.arguments)
+        drains = await context.client().read("/v1/drains", query)
+        evacuations = await context.client().read("/v1/evacuations", query)
+        document = {**drains, **evacuations}
+        rows = [{"server": server} for server in document["servers"]]
+        context.output.write_rows(["server"], rows, document)
+        domains = [{"evacuated domain": domain} for domain in document["domains"]]
+        if domains and context.output.output_format != "json":
+            context.output.write_rows(["evacuated domain"], domains, document)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
@@ -96,6 +96,7 @@
         self.control = control
         self.seeds = seeds
         self.state = ControlState()
+        metrics.evacuated_domains.set_function(lambda: len(self.state.tables.evacuated_domains))
         self.replica = Replica(
             replication_settings(settings, control), self.state, ReplicaTransport(channels), clock
         )
--- /dev/null
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/evacuation_moves.py
@@ -0,0 +1,117 @@
+"""Moves keys away from the servers of evacuated failure domains."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from medlarpass.ranges import RangePlanner
+from medlarpass.ranges import move_allowance
+from medlarpass.ranges import overlapping
+from medlarpass.ranges import select_moves
+from medlarpass_daemon.control.fleet import events
+
+if TYPE_CHECKING:
+    from medlarpass import Clock
+    from medlarpass.ranges import PlannerServer
+    from medlarpass.ranges import RangeAssignment
+    from medlarpass_daemon.control.fleet.fleet_state import FleetState
+    from medlarpass_daemon.control.fleet.range_grants import RangeGrants
+    from medlarpass_daemon.control.fleet.range_moves import RangeMoves
+
+
+class EvacuationMoves:
+    """Starts a bounded number of moves in each step until evacuated servers own no keys.
+
+    Without a server elsewhere the keys stay with their owners, because a key without an owner would
+    only be granted anew, without its handover, after the end of the evacuation.
+
+    :param fleet: servers and ranges
+    :param grants: grants and releases
+    :param moves: moves in progress
+    :param clock: source of time; counts suspended time
+    """
+
+    __slots__ = ("blocked_pools", "clock", "fleet", "grants", "moves", "started_at")
+
+    def __init__(
+        self, fleet: FleetState, grants: RangeGrants, moves: RangeMoves, clock: Clock
+    ) -> None:
+        self.fleet = fleet
+        self.grants = grants
+        self.moves = moves
+        self.clock = clock
+        #: Clock reading at which evacuated servers of a pool were first seen with keys.
+        self.started_at: dict[str, float] = {}
+        #: Pools whose keys can't move, each logged once.
+        self.blocked_pools: set[str] = set()
+
+    def start_term(self) -> None:
+        """Start as a new leader."""
+        self.started_at.clear()
+        self.blocked_pools.clear()
+
+    def start(
+        self, pool: str, assigned: list[RangeAssignment], servers: list[PlannerServer]
+    ) -> None:
+        """Start the moves of a pool that are due.
+
+        :param assigned: ranges of the pool, sorted by key
+        :param servers: servers that may get keys
+        """
+        evacuated = [assignment for assignment in assigned if self._is_evacuated(assignment)]
+        self._log_progress(pool, evacuated, bool(servers))
+        allowance = move_allowance(len(self.moves.tasks))
+        if not evacuated or not servers or not allowance:
+            return
+        free = [
+            (part.first, part.last)
+            for assignment in evacuated
+            if not self.grants.is_pending(assignment.fence)
+            for part in self.fleet.parts_not_moving(assignment)
+        ]
+        if not free:
+            return
+        planner = RangePlanner(pool, self.fleet.loads_of(pool).steady)
+        # The moves in progress count for their targets, so that each step continues the plan.
+        planned = planner.assign_free(free, self.moves.ranges_after_moves(pool, assigned), servers)
+        moves = [(_owner(assigned, target.first), target) for target in planned]
+        for target in select_moves(moves, self._running(pool, assigned), allowance):
+            self.moves.start(assigned, target)
+
+    def _running(self, pool: str, assigned: list[RangeAssignment]) -> Counter[str]:
+        """Return the number of running moves by owner."""
+        return Counter(_owner(assigned, key[1]) for key in self.moves.tasks if key[0] == pool)
+
+    def _is_evacuated(self, assignment: RangeAssignment) -> bool:
+        member = self.fleet.directory.members.get(assignment.identity)
+        return (
+            member is not None
+            and member.heartbeat.incarnation == assignment.incarnation
+            and not member.is_retired
+            and self.fleet.is_evacuated(member)
+            and not self.grants.expiry.is_expired(assignment.fence)
+        )
+
+    def _log_progress(self, pool: str, evacuated: list[RangeAssignment], has_servers: bool) -> None:
+        if not evacuated:
+            self.blocked_pools.discard(pool)
+            started_at = self.started_at.pop(pool, None)
+            if started_at is not None:
+                seconds = round(self.clock.now() - started_at, 3)
+                events.EVACUATED_KEYS_MOVED.log(pool=pool, seconds=seconds)
+            return
+        if pool not in self.started_at:
+            self.started_at[pool] = self.clock.now()
+            events.EVACUATED_KEYS_MOVING.log(pool=pool, ranges=len(evacuated))
+        if has_servers:
+            self.blocked_pools.discard(pool)
+        elif pool not in self.blocked_pools:
+            self.blocked_pools.add(pool)
+            events.EVACUATED_KEYS_STAY.log(pool=pool, ranges=len(evacuated))
+
+
+def _owner(assigned: list[RangeAssignment], key: int) -> str:
+    """Return the identity of the owner of a key, empty if it has none."""
+    owners = assigned[overlapping(assigned, key, key)]
+    return owners[0].identity if owners else ""
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/exceptions.py
@@ -36,6 +36,29 @@
     http_status = 503
 
 
+class EvacuationNotFollowedError(MedlarpassError):
+    """Entries may not have the start or end of an evacuation in force yet; it is in the log."""
+
+    code = "evacuation_not_followed"
+    http_status = 503
+
+
+class UnknownDomainError(MedlarpassError):
+    """No server, entry or control replica of the failure domain is known."""
+
+    code = "unknown_domain"
+    http_status = 422
+    outcome = Outcome.NOT_RUN
+
+
+class DomainNotKnownYetError(MedlarpassError):
+    """The leader is new and may not have heard of all failure domains yet."""
+
+    code = "domain_not_known_yet"
+    http_status = 503
+    outcome = Outcome.NOT_RUN
+
+
 class TooFewReplicasError(MedlarpassError):
     """Fewer replicas have joined than the tolerated losses require."""
 
@@ -52,6 +75,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class UnexpectedBodyError(MedlarpassError):
+    """A call that takes no body has one."""
+
+    code = "unexpected_body"
+    http_status = 400
+    outcome = Outcome.NOT_RUN
+
+
 class UnknownPoolError(MedlarpassError):
     """A heartbeat names a pool that the publication in force does not have."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import uuid
 
 from typing import TYPE_CHECKING
 
@@ -14,12 +15,18 @@
 from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
 from medlarpass_daemon.control.fleet import events
+from medlarpass_daemon.control.fleet.evacuation_request import EvacuationRequest
+from medlarpass_daemon.control.fleet.exceptions import DomainNotKnownYetError
+from medlarpass_daemon.control.fleet.exceptions import EvacuationNotFollowedError
 from medlarpass_daemon.control.fleet.exceptions import InvalidNoticeError
 from medlarpass_daemon.control.fleet.exceptions import LeaveNotFollowedError
 from medlarpass_daemon.control.fleet.exceptions import NotLeadingError
 from medlarpass_daemon.control.fleet.exceptions import NotPublishedError
 from medlarpass_daemon.control.fleet.exceptions import TooFewReplicasError
+from medlarpass_daemon.control.fleet.exceptions import UnknownDomainError
 from medlarpass_daemon.control.fleet.exceptions import UnknownPoolError
+from medlarpass_daemon.control.fleet.known_domains import is_discovering
+from medlarpass_daemon.control.fleet.known_domains import known_domains
 from medlarpass_daemon.control.fleet.leave_request import LeaveRequest
 from medlarpass_daemon.exceptions import ControlUnavailableError
 from medlarpass_daemon.waiting import wait_until_set
@@ -48,8 +55,12 @@
 MAX_EARLY_HEARTBEAT_COUNT = 4096
 #: Maximum number of servers whose refused heartbeats are remembered, so that each is logged once.
 MAX_REFUSED_COUNT = 1000
+#: Author in the audit records of evacuations whose caller is not authenticated.
+EVACUATION_AUTHOR = "control-listener"
 #: Maximum number of watchers named in a log line.
 MAX_LOGGED_NAME_COUNT = 8
+#: Maximum length of an unknown domain in a log line, in characters.
+MAX_LOGGED_DOMAIN_LENGTH = 64
 
 
 class FleetOperations:
@@ -63,6 +74,7 @@
     __slots__ = (
         "control",
         "early_heartbeats",
+        "evacuation_requests",
         "fleet",
         "leave_requests",
         "log",
@@ -80,6 +92,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         #: Latest requests to leave, by identity and incarnation.
         self.leave_requests: dict[tuple[str, int], LeaveRequest] = {}
+        #: Commands to start or end an evacuation that are not confirmed yet, by domain.
+        self.evacuation_requests: dict[str, EvacuationRequest] = {}
         #: Newest heartbeats before the first publication, by identity.
         self.early_heartbeats: dict[str, ServerHeartbeat] = {}
         #: Identities and pools of refused heartbeats, oldest first.
@@ -133,6 +147,36 @@
                 raise LeaveNotFollowedError(f"entries do not know yet that {identity} leaves")
             self._log_early_confirmation(leave.position)
 
+    async def set_evacuation(self, domain: str, evacuated: bool) -> None:
+        """Start or end the evacuation of a failure domain; returning confirms it.
+
+        The command is in the log of a majority before it is confirmed. The log decides whether it
+        is a repetition, since a former leader may not know the newest command.
+
+        :param domain: name of the domain
+        :param evacuated: whether its servers get no requests and own no keys
+        :raises DomainNotKnownYetError: the domain is not known to this new leader
+        :raises EvacuationNotFollowedError: entries do not follow yet
+        :raises NotLeadingError: another replica leads
+        :raises TooFewReplicasError: replicas are still joining
+        :raises UnknownDomainError: the domain is not known
+        :raises UnknownResultError: the result is not known
+        """
+        self.check_leading()
+        self._check_domain(domain)
+        request = self._evacuation_request(domain, evacuated)
+        await self._wait_for_log()
+        if (domain in self.fleet.state.tables.evacuated_domains) != evacuated:
+            self._check_replicas()
+            await self._write_evacuation(domain, evacuated)
+        await self._wait_until_led()
+        position = self.fleet.evacuation_position()
+        if not await self._are_watchers_following(position, LEAVE_TIMEOUT_SECONDS):
+            if self.fleet.clock.now() - request.asked_at < LEAVE_PATIENCE_SECONDS:
+                raise EvacuationNotFollowedError(f"entries do not follow the state of {domain} yet")
+            self._log_early_confirmation(position)
+        self.evacuation_requests.pop(domain, None)
+
     async def publish(self, document: dict[str, Any], source: bytes) -> int:
         """Put routes and pools in force if their version is higher.
 
@@ -173,16 +217,72 @@
         :raises NotLeadingError: another replica leads
         :raises NotPublishedError: nothing was published yet
         """
+        await self._wait_for_log()
+        publication = self.fleet.state.publication
+        if not publication.version:
+            raise NotPublishedError("nothing was published yet")
+        return decompress_source(publication)
+
+    async def _wait_for_log(self) -> None:
+        """Wait until this replica has applied all commands that any leader has confirmed.
+
+        :raises NotLeadingError: another replica leads
+        """
         replica = self.log.replica
         try:
             index = await replica.read_index()
         except NotLeaderError as error:
             raise NotLeadingError(self.log.leader_address()) from error
         await replica.wait_applied(index)
-        publication = self.fleet.state.publication
-        if not publication.version:
-            raise NotPublishedError("nothing was published yet")
-        return decompress_source(publication)
+
+    async def _wait_until_led(self) -> None:
+        """Wait until this replica sends its own state to entries in the current term.
+
+        Before that, no entry can have a command of this term, and none counts as lagging.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + LEAVE_TIMEOUT_SECONDS
+        while self.fleet.led_term != self.log.replica.term:
+            self.check_leading()
+            remaining = deadline - loop.time()
+            if remaining <= 0:
+                raise EvacuationNotFollowedError("this leader does not serve entries yet")
+            await wait_until_set(self.fleet.changed, remaining)
+
+    def _check_domain(self, domain: str) -> None:
+        early = {heartbeat.domain for heartbeat in self.early_heartbeats.values()}
+        if domain in early or domain in known_domains(self.log, self.fleet):
+            return
+        if is_discovering(self.log, self.fleet):
+            raise DomainNotKnownYetError("this leader may not have heard of all domains yet")
+        # The name is not checked otherwise and may be no valid text.
+        events.EVACUATION_REFUSED.log(domain=ascii(domain[:MAX_LOGGED_DOMAIN_LENGTH]))
+        raise UnknownDomainError("no server, entry or replica of the domain is known")
+
+    def _evacuation_request(self, domain: str, evacuated: bool) -> EvacuationRequest:
+        """Return the first of the equal commands in this term, which the callers repeat."""
+        term = self.log.replica.term
+        request = self.evacuation_requests.get(domain)
+        if request is None or (request.evacuated, request.term) != (evacuated, term):
+            request = EvacuationRequest(evacuated, term, self.fleet.clock.now())
+            self.evacuation_requests[domain] = request
+        return request
+
+    async def _write_evacuation(self, domain: str, evacuated: bool) -> None:
+        await self._propose(
+            control_pb2.Command(
+                set_evacuation=control_pb2.SetEvacuation(
+                    change_id=uuid.uuid4().hex,
+                    author=EVACUATION_AUTHOR,
+                    domain=domain,
+                    evacuated=evacuated,
+                )
+            )
+        )
+        if evacuated:
+            events.EVACUATION_STARTED.log(domain=domain)
+        else:
+            events.EVACUATION_ENDED.log(domain=domain)
 
     def _check_pool(self, heartbeat: ServerHeartbeat, publication: Publication) -> None:
         """Refuse a heartbeat that names no pool of the publication.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -154,7 +154,9 @@
             fleet_pb2.FleetUpdate(from_follower=True),
             self.fleet.packed_publication(),
             (
-                FleetMember(ServerHeartbeat.from_record(record), 0.0).to_proto()
+                FleetMember(ServerHeartbeat.from_record(record), 0.0).to_proto(
+                    is_evacuated=record.domain in state.tables.evacuated_domains
+                )
                 for record in state.servers.all()
             ),
             (
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -17,6 +17,7 @@
 from medlarpass.ranges import ServerSpeeds
 from medlarpass.ranges import parts_outside
 from medlarpass.rpc import fleet_pb2
+from medlarpass_daemon.control.fleet import events
 from medlarpass_daemon.control.fleet.fleet_feed import FleetFeed
 from medlarpass_daemon.control.fleet.watchers import REACHABILITY_SECONDS
 from medlarpass_daemon.control.fleet.watchers import Watchers
@@ -27,6 +28,7 @@
 
     from medlarpass import Clock
     from medlarpass.control import ControlState
+    from medlarpass.fleet import FleetMember
     from medlarpass.ranges import RangeAssignment
     from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
 
@@ -46,6 +48,7 @@
         "clock",
         "confirmed_fences",
         "directory",
+        "evacuation_feed_revision",
         "feed",
         "has_new_ranges",
         "has_new_servers",
@@ -58,6 +61,7 @@
         "packed_parts",
         "parsed_publication",
         "publication_feed_revision",
+        "sent_evacuations",
         "speeds",
         "state",
         "watchers",
@@ -82,6 +86,10 @@
         self.led_term = 0
         #: Feed revision in which this replica, as the leader, sent its newest publication.
         self.publication_feed_revision = 0
+        #: Evacuated domains in the servers of the feed.
+        self.sent_evacuations: frozenset[str] = frozenset()
+        #: Feed revision in which this replica, as the leader, sent these domains first.
+        self.evacuation_feed_revision = 0
         #: Leader lease; None until this replica starts to manage the ranges.
         self.lease: LeaderLease | None = None
         #: Time at which this replica started to manage the ranges.
@@ -110,6 +118,7 @@
         self.led_term = term
         self.led_at = self.clock.now()
         self.publication_feed_revision = self.feed.feed_revision + 1
+        self.evacuation_feed_revision = self.feed.feed_revision + 1
         # As a relay, this replica got the number from the previous leader.
         self.watchers.expect(self.feed.entry_count)
         for record in self.state.servers.all():
@@ -135,6 +144,22 @@
             return self.next_position()
         return self.led_term, self.publication_feed_revision
 
+    def evacuation_position(self) -> tuple[int, int]:
+        """Return the term and feed revision that contain the evacuated domains in the log."""
+        if self.sent_evacuations != self.state.tables.evacuated_domains:
+            return self.next_position()
+        return self.led_term, self.evacuation_feed_revision
+
+    def is_evacuated(self, member: FleetMember) -> bool:
+        """Return whether the failure domain of a server is evacuated."""
+        return member.heartbeat.domain in self.state.tables.evacuated_domains
+
+    def assignable(self, pool: str) -> Iterable[FleetMember]:
+        """Yield the servers of a pool that may get new work."""
+        return (
+            member for member in self.directory.assignable(pool) if not self.is_evacuated(member)
+        )
+
     def notify(self) -> None:
         """Wake all tasks that wait for a change."""
         self.changed.set()
@@ -161,10 +186,13 @@
         if publication is not None and publication.version > self.feed.publication_version:
             self.feed.set_publication(publication.document)
             self.publication_feed_revision = feed_revision
+        self._send_evacuations(feed_revision)
         if self.has_new_servers:
             sent_weights = self.weights.sent_weights
             self.feed.set_servers(
-                member.to_proto(sent_weights.get(member.heartbeat.identity, 0.0))
+                member.to_proto(
+                    sent_weights.get(member.heartbeat.identity, 0.0), self.is_evacuated(member)
+                )
                 for member in self.directory.current()
             )
             # After an error the servers stay outdated, so that no revision is sent without them.
@@ -175,6 +203,20 @@
         self.feed.set_sources(controls, [own_source, *self.watchers.sources()])
         self.feed.set_header(self.led_term, self.watchers.entry_count, feed_revision)
 
+    def _send_evacuations(self, feed_revision: int) -> None:
+        """Mark the servers as outdated if the evacuated domains in the log have changed."""
+        evacuated = frozenset(self.state.tables.evacuated_domains)
+        if evacuated == self.sent_evacuations:
+            return
+        events.EVACUATIONS_SENT.log(
+            term=self.led_term, mark=feed_revision, domains=sorted(evacuated)
+        )
+        self.sent_evacuations = evacuated
+        self.evacuation_feed_revision = feed_revision
+        self.has_new_servers = True
+        # A domain may have no servers; its confirmation must not wait for the next change.
+        self.feed.wake_watchers()
+
     def packed_publication(self) -> list[fleet_pb2.PackedPublication]:
         """Return the publication in the log in parts, compressed once for all entries."""
         stored = self.state.publication
@@ -214,7 +256,7 @@
         has_changed = False
         for pool in publication.pools.values():
             if not pool.owned:
-                members = self.directory.assignable(pool.name)
+                members = self.assignable(pool.name)
                 has_changed |= self.weights.update(
                     [member.heartbeat.identity for member in members]
                 )
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -14,6 +14,7 @@
 from medlarpass.ranges.range_planner import unassigned_ranges
 from medlarpass.replication import NotLeaderError
 from medlarpass_daemon.control.fleet import events
+from medlarpass_daemon.control.fleet.evacuation_moves import EvacuationMoves
 from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
 from medlarpass_daemon.control.fleet.range_grants import RangeGrants
 from medlarpass_daemon.control.fleet.range_moves import RangeMoves
@@ -62,6 +63,7 @@
     __slots__ = (
         "balanced_at",
         "clock",
+        "evacuations",
         "fleet",
         "grants",
         "is_balance_due",
@@ -90,6 +92,7 @@
         fleet.lease = self.lease
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
+        self.evacuations = EvacuationMoves(fleet, self.grants, self.moves, clock)
         self.leading_since = 0.0
         #: Highest number of servers seen in a pool without owners, and when it was reached.
         self.join_progress: dict[str, tuple[int, float]] = {}
@@ -115,6 +118,7 @@
         self.lease.start_term()
         self.fleet.start_term(self.lease.term)
         self.grants.start_term()
+        self.evacuations.start_term()
 
     async def step(self) -> None:
         """Check once which keys have to be granted, moved or renewed."""
@@ -165,6 +169,7 @@
         if not assigned and not self._have_servers_joined(pool, len(servers)):
             return
         self._move_from_leaving(pool, assigned, servers)
+        self.evacuations.start(pool, assigned, servers)
         free = self._free_keys(pool, assigned)
         if free.firsts and servers:
             rest = [
@@ -204,7 +209,7 @@
     def _assignable_servers(self, pool: str) -> list[PlannerServer]:
         heartbeats = [
             member.heartbeat
-            for member in self.fleet.directory.assignable(pool)
+            for member in self.fleet.assignable(pool)
             if not self.fleet.directory.is_replaced(member) and not self._is_unavailable(member)
         ]
         factors = self.fleet.speeds.weight_factors([heartbeat.identity for heartbeat in heartbeats])
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/watchers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/watchers.py
@@ -50,6 +50,7 @@
 
     __slots__ = (
         "clock",
+        "domains",
         "earlier_counts",
         "entry_streams",
         "relay_streams",
@@ -59,6 +60,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
+        #: Failure domains of all entries and relays that have been heard of.
+        self.domains: set[str] = set()
         #: Open streams by name of the entry.
         self.entry_streams: Counter[str] = Counter()
         #: Open streams by address and domain of the relay.
@@ -102,6 +105,7 @@
 
     def add_stream(self, request: fleet_pb2.WatchRequest) -> None:
         """Record a new stream."""
+        self.domains.add(request.domain)
         if request.is_relay:
             self.relay_streams[request.address, request.domain] += 1
         else:
@@ -124,6 +128,7 @@
             address != report.entry for address, _ in self.relay_streams
         ):
             return
+        self.domains.update(demand.domain for demand in report.demands)
         count = self.entry_count
         self.reports[report.entry] = WatcherReport(report, self.clock.now())
         self._record_decrease(count)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/body.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/body.py
@@ -57,6 +57,7 @@
 
 validate_item_name = pattern_validator(NAME_PATTERN, "a name of lower-case letters, digits, . _ -")
 validate_server_identity = pattern_validator(SERVER_PATTERN, "the identity of a server")
+validate_domain = pattern_validator(SERVER_PATTERN, "the name of a failure domain")
 validate_replica_identity = pattern_validator(REPLICA_PATTERN, "the identity of a replica")
 validate_change_id = pattern_validator(CHANGE_ID_PATTERN, "a change id of letters, digits, . _ : -")
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/exceptions.py
@@ -41,6 +41,13 @@
     http_status = 403
 
 
+class EvacuationNotSupportedError(OperatorCallError):
+    """This control does not discover servers, so that an evacuation would have no effect."""
+
+    code = "evacuation_not_supported"
+    http_status = 422
+
+
 class ItemNotFoundError(OperatorCallError):
     """No route or pool has this name."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/proposer.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/proposer.py
@@ -64,6 +64,22 @@
         )
         return await self._propose(request, change_id, command)
 
+    async def set_evacuation(
+        self, request: web.Request, change_id: str, domain: str, evacuated: bool
+    ) -> web.Response:
+        """Propose to start or end an evacuation and return the response."""
+        command = control_pb2.Command(
+            command_id=uuid.uuid4().hex,
+            set_evacuation=control_pb2.SetEvacuation(
+                change_id=change_id,
+                author=request[PRINCIPAL].name,
+                source=source_of(request),
+                domain=domain,
+                evacuated=evacuated,
+            ),
+        )
+        return await self._propose(request, change_id, command)
+
     async def run_audited(
         self, request: web.Request, change_id: str, summary: str, change: Awaitable[None]
     ) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/server.py
@@ -12,6 +12,7 @@
 from medlarpass_daemon.control.operators.audit_handlers import AuditHandlers
 from medlarpass_daemon.control.operators.body import MAX_BODY_BYTES
 from medlarpass_daemon.control.operators.drain_handlers import DrainHandlers
+from medlarpass_daemon.control.operators.evacuation_handlers import EvacuationHandlers
 from medlarpass_daemon.control.operators.events import OPERATORS_STARTED
 from medlarpass_daemon.control.operators.events import OPERATORS_STOPPED
 from medlarpass_daemon.control.operators.middleware import OperatorMiddleware
@@ -111,6 +112,7 @@
         proposer = Proposer(self.backend)
         TableHandlers(self.backend, proposer).register(application.router)
         DrainHandlers(self.backend, proposer).register(application.router)
+        EvacuationHandlers(self.settings, self.backend, proposer).register(application.router)
         ReplicaHandlers(self.backend, proposer).register(application.router)
         ReportHandlers(self.backend).register(application.router)
         AuditHandlers(self.backend).register(application.router)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -211,6 +211,8 @@
         key = request.owned_key
         if key is not None and not context.owners.is_current(request.pool, key, target):
             raise KeyMovedError("the key moved before the request was sent")
+        if key is None and not context.servers.may_send_to(target):
+            raise ServerNotAcceptingError("the server was evacuated before the request was sent")
 
     return Exchange(
         target,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -120,8 +120,17 @@
     http_status = 503
 
 
+class ServersEvacuatedError(CallerError):
+    """All servers that can run the request are in evacuated failure domains."""
+
+    code = "servers_evacuated"
+    http_status = 503
+    # An evacuation lasts longer than any request; callers only have to notice its end soon.
+    retry_after = 1.0
+
+
 class ServerNotAcceptingError(CallerError):
-    """The chosen server has said since its choice that it leaves, or asked for a pause."""
+    """The chosen server leaves, asks for a pause or was evacuated since its choice."""
 
     code = "server_not_accepting"
     http_status = 503
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/interfaces.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/interfaces.py
@@ -110,6 +110,7 @@
         """Return the server that owns a key, with shard and fence.
 
         :raises NoOwnerError: when no server currently owns the key
+        :raises ServersEvacuatedError: when its owner is evacuated and gets no more requests
         """
         ...
 
@@ -134,9 +135,15 @@
         """Return the servers that accept new requests.
 
         Draining, leaving and stale servers are never included.
+
+        :raises ServersEvacuatedError: the only servers of the pool are in evacuated domains
         """
         ...
 
+    def may_send_to(self, target: Target) -> bool:
+        """Return whether a request that is not sent yet may go to a chosen server."""
+        ...
+
 
 class OrderClaims(Protocol):
     """Claims of orders in the control log.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
@@ -10,6 +10,7 @@
 from medlarpass_daemon.entry.callers.exceptions import NoOwnerError
 from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
+from medlarpass_daemon.entry.callers.exceptions import ServersEvacuatedError
 from medlarpass_daemon.entry.callers.exceptions import ServersPausedError
 
 if TYPE_CHECKING:
@@ -45,7 +46,8 @@
     return min(error.retry_after, target * random.uniform(MIN_TARGET_RATIO, MAX_TARGET_RATIO))
 
 
+@retry_after_seconds.register(ServersEvacuatedError)
 @retry_after_seconds.register(ServersPausedError)
-def _(error: ServersPausedError, target: float) -> float:
+def _(error: MedlarpassError, target: float) -> float:
     # The spread keeps callers that were refused in the same pause from returning together.
     return error.retry_after + target * random.uniform(0.0, MIN_TARGET_RATIO)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/directories.py
@@ -222,3 +222,10 @@
     def available_servers(self, pool_name: str) -> Sequence[Target]:
         """Return the servers of a pool that may get new requests."""
         return [self.targets.build(server) for server in self.registry.available_servers(pool_name)]
+
+    def may_send_to(self, target: Target) -> bool:
+        """Return whether a request that is not sent yet may go to a chosen server.
+
+        Only control evacuates failure domains, and only where it knows all servers.
+        """
+        return True
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
@@ -10,7 +10,9 @@
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.entry.callers import NoOwnerError
 from medlarpass_daemon.entry.callers.exceptions import InvalidHeaderError
+from medlarpass_daemon.entry.callers.exceptions import ServersEvacuatedError
 from medlarpass_daemon.entry.callers.interfaces import Target
+from medlarpass_daemon.entry.fleet.evacuated_domains import EvacuatedDomains
 from medlarpass_daemon.entry.fleet.events import RANGES_LEARNED
 from medlarpass_daemon.entry.fleet.events import SERVER_DROPPED
 from medlarpass_daemon.entry.fleet.events import SERVER_RETIRED
@@ -31,13 +33,15 @@
 #: without an interruption. The platform allows 2 s from its confirmation on.
 LEAVING_GRACE_SECONDS = 0.4
 RETIRED = fleet_pb2.SERVER_PHASE_RETIRED
+EVACUATED = fleet_pb2.SERVER_PHASE_EVACUATED
 HELD = fleet_pb2.RANGE_PHASE_HELD
 
 
 class FleetServers:
     """Servers and ranges according to the updates of the leader.
 
-    A retired incarnation of a server stays retired, even if another leader reports it as ready.
+    A retired incarnation of a server stays retired, even if another leader reports it as ready. A
+    server of an evacuated domain may become ready again.
 
     :param routing: routes and pools in force
     :param loads: counts the requests of keys
@@ -47,6 +51,7 @@
     __slots__ = (
         "change_event",
         "clock",
+        "evacuations",
         "is_complete",
         "last_update_at",
         "loads",
@@ -71,6 +76,7 @@
         self.servers_in_view: set[str] = set()
         #: Clock reading when this entry learned that a server is leaving, by identity.
         self.retired_at: dict[str, float] = {}
+        self.evacuations = EvacuatedDomains(clock)
         self.ranges: dict[str, PoolRanges] = {}
         #: Servers that may get new requests by pool, built on first use after a change.
         self.targets: dict[str, list[Target]] = {}
@@ -90,6 +96,7 @@
     def apply(self, update: fleet_pb2.FleetUpdate) -> None:
         """Apply an update of the leader."""
         self.last_update_at = self.clock.now()
+        self.evacuations.record_update(update)
         if update.is_whole:
             self._remove(self.servers.keys() - {server.identity for server in update.servers})
         if update.begins_whole:
@@ -120,21 +127,35 @@
             self.change_event = asyncio.Event()
 
     def available_servers(self, pool_name: str) -> Sequence[Target]:
-        """Return the servers that may get new requests."""
+        """Return the servers that may get new requests.
+
+        :raises ServersEvacuatedError: the only servers of the pool are in evacuated domains
+        """
         targets = self.targets.get(pool_name)
         if targets is None:
             targets = [
                 self._target(server)
                 for server in self.servers.values()
-                if server.pool == pool_name and server.phase != RETIRED
+                if server.pool == pool_name and server.phase not in (RETIRED, EVACUATED)
             ]
             self.targets[pool_name] = targets
+        if not targets and any(
+            server.pool == pool_name and server.phase == EVACUATED
+            for server in self.servers.values()
+        ):
+            raise ServersEvacuatedError(f"the servers of pool {pool_name} are evacuated")
         return targets
 
+    def may_send_to(self, target: Target) -> bool:
+        """Return whether a request that is not sent yet may go to a chosen server."""
+        server = self.servers.get(target.identity)
+        return server is None or server.phase != EVACUATED
+
     def owner_of(self, pool: Pool, key: str) -> Target:
         """Return the server that holds a key.
 
         :raises NoOwnerError: no server currently holds the key
+        :raises ServersEvacuatedError: its owner is evacuated and has not been relieved in time
         :raises InvalidHeaderError: the key is not a number in the valid range
         """
         number = _number(key)
@@ -145,6 +166,8 @@
         server = self.servers.get(fleet_range.assignment.identity)
         if server is None or server.life != fleet_range.assignment.life:
             raise NoOwnerError(f"the address of {fleet_range.assignment.identity} is not known yet")
+        if server.phase == EVACUATED and self._is_grace_over(server):
+            raise ServersEvacuatedError(f"{server.identity} is evacuated and still holds the key")
         if self._is_grace_over(server):
             raise NoOwnerError(f"{server.identity} is leaving and its keys have not been moved yet")
         return self._target(server, fleet_range.assignment.fence)
@@ -161,7 +184,12 @@
         )
 
     def _is_grace_over(self, server: fleet_pb2.FleetServer) -> bool:
-        """Return whether a leaving server gets no more requests for the keys it holds."""
+        """Return whether a server gets no more requests for the keys it holds.
+
+        That is so some time after a server has begun to leave, or its domain to be evacuated.
+        """
+        if server.phase == EVACUATED:
+            return not self.evacuations.grace_left(server.domain)
         if server.phase != RETIRED:
             return False
         return self.clock.now() >= self.retired_at.get(server.identity, 0.0) + LEAVING_GRACE_SECONDS
@@ -200,6 +228,10 @@
         if server.phase == RETIRED:
             self.retired_at[server.identity] = self.clock.now()
             SERVER_RETIRED.log(server=server.identity, life=server.life, pool=server.pool)
+        elif server.phase == EVACUATED:
+            self.evacuations.record_evacuated(server.domain)
+        else:
+            self.evacuations.record_ready(server.domain)
 
     def _remove(self, gone: Iterable[str]) -> None:
         for identity in list(gone):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_watcher.py
@@ -43,6 +43,7 @@
 #: names the leader to all of its entries in the same moment.
 MAX_REFERRAL_DELAY_SECONDS = 0.3
 RETIRED = fleet_pb2.SERVER_PHASE_RETIRED
+EVACUATED = fleet_pb2.SERVER_PHASE_EVACUATED
 
 
 class ControlStream:
@@ -75,6 +76,7 @@
         "apply",
         "channels",
         "entry_count",
+        "evacuated_servers",
         "feed_revision",
         "followed_address",
         "has_unreported_confirmation",
@@ -108,9 +110,12 @@
         self.term = 0
         #: Revision of the leader's feed in that term that this entry has applied; 0 if unknown.
         self.feed_revision = 0
-        #: Whether a publication or the retirement of a server has been received since the last feed
-        #: revision was reported; control may wait for the report to confirm it.
+        #: Whether a publication, the retirement of a server, or the start or end of an evacuation
+        #: has been received since the last feed revision was reported; control may wait for the
+        #: report to confirm it.
         self.has_unreported_confirmation = False
+        #: Identities of the servers whose failure domains are evacuated.
+        self.evacuated_servers: set[str] = set()
         #: Number of entries that follow the leader.
         self.entry_count = 1
         self.is_connected = True
@@ -286,6 +291,7 @@
         self.has_unreported_confirmation |= update.HasField("publication") or any(
             server.phase == RETIRED for server in update.servers
         )
+        self.has_unreported_confirmation |= self._record_evacuations(update)
         if not update.mark:
             return
         self.feed_revision = update.mark
@@ -293,6 +299,19 @@
             self.has_unreported_confirmation = False
             self.report_due.set()
 
+    def _record_evacuations(self, update: fleet_pb2.FleetUpdate) -> bool:
+        """Record which servers are evacuated, and return whether that has changed.
+
+        Other changes of these servers, such as their weights, need no prompt report.
+        """
+        has_changed = False
+        for server in update.servers:
+            if (server.phase == EVACUATED) != (server.identity in self.evacuated_servers):
+                self.evacuated_servers ^= {server.identity}
+                has_changed = True
+        self.evacuated_servers.difference_update(update.gone)
+        return has_changed
+
     def _record_loss(self, stream: ControlStream, cause: str) -> None:
         self.followed_address = ""
         if self.is_connected and self.term:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/observability/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/observability/metrics.py
@@ -41,6 +41,7 @@
         "configuration_revision",
         "coordinator_lease",
         "delegated_shards",
+        "evacuated_domains",
         "grant_changes",
         "imbalance",
         "log_lines_dropped",
@@ -103,6 +104,9 @@
         self.replication_leader = self._gauge(
             "replication_leader", "1 when this replica is the leader of the control log"
         )
+        self.evacuated_domains = self._gauge(
+            "evacuated_domains", "Failure domains that are evacuated according to the control log"
+        )
         self.configuration_revision = self._gauge(
             "configuration_revision", "Revision of the configuration in force here"
         )
--- a/packages/medlarpass-daemon/tests/entry/callers/conftest.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/conftest.py
@@ -241,10 +241,14 @@
 
     def __init__(self) -> None:
         self.targets: list[Target] = []
+        self.evacuated: set[str] = set()
 
     def available_servers(self, pool_name: str) -> list[Target]:
         return list(self.targets)
 
+    def may_send_to(self, target: Target) -> bool:
+        return target.identity not in self.evacuated
+
 
 class InMemoryClaims:
     """Claims in an in-memory ledger, with faults set by the test."""
--- a/packages/medlarpass/src/medlarpass/control/control_state.py
+++ b/packages/medlarpass/src/medlarpass/control/control_state.py
@@ -118,6 +118,13 @@
     return control_pb2.CommandResult(change=state.tables.set_drain(body, time_ms))
 
 
+@apply_body.register
+def _set_evacuation(
+    body: control_pb2.SetEvacuation, state: ControlState, time_ms: int
+) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(change=state.tables.set_evacuation(body, time_ms))
+
+
 @apply_body.register
 def _record_refusal(
     body: control_pb2.RecordRefusal, state: ControlState, time_ms: int
--- a/packages/medlarpass/src/medlarpass/fleet/fleet_member.py
+++ b/packages/medlarpass/src/medlarpass/fleet/fleet_member.py
@@ -25,13 +25,18 @@
         #: Whether this incarnation gets no new work.
         self.is_retired = False
 
-    def to_proto(self, weight: float = 0.0) -> fleet_pb2.FleetServer:
+    def to_proto(self, weight: float = 0.0, is_evacuated: bool = False) -> fleet_pb2.FleetServer:
         """Return the message for entries.
 
         :param weight: share of its pool's requests; 0 for the default share
+        :param is_evacuated: whether its failure domain is evacuated
         """
         heartbeat = self.heartbeat
-        retired = fleet_pb2.SERVER_PHASE_RETIRED
+        phase = fleet_pb2.SERVER_PHASE_READY
+        if self.is_retired:
+            phase = fleet_pb2.SERVER_PHASE_RETIRED
+        elif is_evacuated:
+            phase = fleet_pb2.SERVER_PHASE_EVACUATED
         return fleet_pb2.FleetServer(
             identity=heartbeat.identity,
             life=heartbeat.incarnation,
@@ -41,5 +46,5 @@
             domain=heartbeat.domain,
             slots=heartbeat.slots,
             weight=round(weight * 1000),
-            phase=retired if self.is_retired else fleet_pb2.SERVER_PHASE_READY,
+            phase=phase,
         )
--- a/packages/medlarpass/src/medlarpass/ranges/__init__.py
+++ b/packages/medlarpass/src/medlarpass/ranges/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from medlarpass.ranges.evacuation_pace import move_allowance
+from medlarpass.ranges.evacuation_pace import select_moves
 from medlarpass.ranges.grant_expiry_tracker import GrantExpiryTracker
 from medlarpass.ranges.key_intervals import KeyIntervals
 from medlarpass.ranges.key_loads import KeyLoads
@@ -33,7 +35,9 @@
     "RangeTable",
     "ServerSpeeds",
     "apply_moves",
+    "move_allowance",
     "overlapping",
     "parts_outside",
     "plan_rebalancing",
+    "select_moves",
 ]
--- a/packages/medlarpass/src/medlarpass/tables/change_history.py
+++ b/packages/medlarpass/src/medlarpass/tables/change_history.py
@@ -46,7 +46,9 @@
             self.outcomes.pop(next(iter(self.outcomes)))
 
 
-def change_digest(message: control_pb2.ApplyChange | control_pb2.SetDrain) -> bytes:
+def change_digest(
+    message: control_pb2.ApplyChange | control_pb2.SetDrain | control_pb2.SetEvacuation,
+) -> bytes:
     """Return a digest of the contents of a change, without its author and source."""
     contents = copy.deepcopy(message)
     contents.author = ""
--- a/packages/medlarpass/src/medlarpass/tables/configuration_table.py
+++ b/packages/medlarpass/src/medlarpass/tables/configuration_table.py
@@ -33,13 +33,21 @@
 
 
 class ConfigurationTable:
-    """State machine of routes, pools and drains, with change history and audit trail.
+    """State machine of routes, pools, drains and evacuations, with history and audit trail.
 
     Every replica applies the same messages in the same order and must reach the same state, so
     nothing here may depend on the local clock or on random numbers.
     """
 
-    __slots__ = ("audit", "deleted", "drained", "history", "items", "revision")
+    __slots__ = (
+        "audit",
+        "deleted",
+        "drained",
+        "evacuated_domains",
+        "history",
+        "items",
+        "revision",
+    )
 
     def __init__(self) -> None:
         self.revision = 0
@@ -48,6 +56,8 @@
         #: version numbers, so that a stale expected version can't match the new item.
         self.deleted: dict[ItemKey, control_pb2.ConfigurationItem] = {}
         self.drained: set[str] = set()
+        #: Failure domains whose servers get no requests and own no keys.
+        self.evacuated_domains: set[str] = set()
         self.history = ChangeHistory()
         self.audit = AuditTrail()
 
@@ -89,27 +99,27 @@
         :param change: identity of the server and its desired state
         :param time_ms: time stamped by the leader
         """
-        digest = change_digest(change)
-        before = change.server in self.drained
-        try:
-            previous_result = self.history.find(change.change_id, digest)
-        except ChangeIdReusedError as error:
-            result = self._refusal_result(error)
-            self._audit_drain(change, time_ms, before, result)
-            return result
-        if previous_result is not None:
-            return previous_result
-        if change.drained:
-            self.drained.add(change.server)
-        else:
-            self.drained.discard(change.server)
-        self.revision += 1
-        result = control_pb2.ChangeResult(
-            status=control_pb2.CHANGE_STATUS_ACCEPTED, revision=self.revision
+        return self._set_flag(
+            change, self.drained, change.server, change.drained, time_ms, "drain", "drained"
+        )
+
+    def set_evacuation(
+        self, change: control_pb2.SetEvacuation, time_ms: int
+    ) -> control_pb2.ChangeResult:
+        """Start or end the evacuation of a failure domain.
+
+        :param change: name of the domain and its desired state
+        :param time_ms: time stamped by the leader
+        """
+        return self._set_flag(
+            change,
+            self.evacuated_domains,
+            change.domain,
+            change.evacuated,
+            time_ms,
+            "evacuate",
+            "evacuated",
         )
-        self.history.add(change.change_id, digest, time_ms, result)
-        self._audit_drain(change, time_ms, before, result)
-        return result
 
     def record_refusal(self, refusal: control_pb2.RecordRefusal, time_ms: int) -> None:
         """Add an audit record for a request that was refused before it reached the tables."""
@@ -156,6 +166,7 @@
             outcomes=self.history.outcomes.values(),
             audit=self.audit.records,
             audit_count=self.audit.count,
+            evacuated_domains=sorted(self.evacuated_domains),
         )
 
     @classmethod
@@ -171,6 +182,7 @@
             for item in snapshot.deleted
         }
         table.drained = set(snapshot.drained_servers)
+        table.evacuated_domains = set(snapshot.evacuated_domains)
         table.history.outcomes = {outcome.change_id: outcome for outcome in snapshot.outcomes}
         table.audit.records.extend(snapshot.audit)
         table.audit.count = snapshot.audit_count
@@ -276,11 +288,55 @@
                 )
             )
 
-    def _audit_drain(
+    def _set_flag(
         self,
-        change: control_pb2.SetDrain,
+        change: control_pb2.SetDrain | control_pb2.SetEvacuation,
+        flagged: set[str],
+        name: str,
+        desired: bool,
         time_ms: int,
-        before: bool,
+        verb: str,
+        flagged_state: str,
+    ) -> control_pb2.ChangeResult:
+        """Add a name to a set or remove it, with history and audit record.
+
+        :param change: the change, for its id, author and source
+        :param flagged: names for which the state is set
+        :param name: name of the server or domain
+        :param desired: whether the name is to be in the set
+        :param time_ms: time stamped by the leader
+        :param verb: action in the audit record
+        :param flagged_state: state of a name in the set, for the audit record
+        """
+        digest = change_digest(change)
+        before = name in flagged
+        try:
+            previous_result = self.history.find(change.change_id, digest)
+        except ChangeIdReusedError as error:
+            result = self._refusal_result(error)
+        else:
+            if previous_result is not None:
+                return previous_result
+            if desired:
+                flagged.add(name)
+            else:
+                flagged.discard(name)
+            self.revision += 1
+            result = control_pb2.ChangeResult(
+                status=control_pb2.CHANGE_STATUS_ACCEPTED, revision=self.revision
+            )
+            self.history.add(change.change_id, digest, time_ms, result)
+        states = {True: flagged_state, False: "in use"}
+        self._audit_flag(change, time_ms, f"{verb} {name}", states[before], states[desired], result)
+        return result
+
+    def _audit_flag(
+        self,
+        change: control_pb2.SetDrain | control_pb2.SetEvacuation,
+        time_ms: int,
+        action: str,
+        before: str,
+        after: str,
         result: control_pb2.ChangeResult,
     ) -> None:
         self.audit.add(
@@ -289,9 +345,9 @@
                 change_id=change.change_id,
                 author=change.author,
                 source=change.source,
-                action=f"drain {change.server}",
-                before=_drain_state(before),
-                after=_drain_state(change.drained),
+                action=action,
+                before=before,
+                after=after,
                 outcome=result.code or "accepted",
                 revision=result.revision,
             )
@@ -338,7 +394,3 @@
     kind = "route" if item.kind == ROUTE else "pool"
     verb = "put" if item.HasField("document") else "delete"
     return f"{verb} {kind} {item.name}"
-
-
-def _drain_state(drained: bool) -> str:
-    return "drained" if drained else "in use"
