Test evacuations and plan their moves in few parts

Cause: planned with the rule for free keys, 60 ranges of 20 servers became 350 moves in 5 s, because each step split the remaining ranges anew (simulation).

--- a/packages/medlarpass-cli/tests/test_cli_commands.py
+++ b/packages/medlarpass-cli/tests/test_cli_commands.py
@@ -112,6 +112,20 @@
     assert backend.state.tables.drained == set()
 
 
+async def test_evacuate_and_return_domain(run_command, backend) -> None:
+    """Guards against an evacuation of another domain, and one that no command shows."""
+    assert (await run_command("evacuate", "north")).out == "north is evacuated\n"
+    assert backend.state.tables.evacuated_domains == {"north"}
+    await run_command("drain", "stock-1")
+    shown = (await run_command("drains")).out
+    assert shown == "SERVER\nstock-1\nEVACUATED DOMAIN\nnorth\n"
+    document = json.loads((await run_command("drains", "--output", "json")).out)
+    assert document == {"servers": ["stock-1"], "domains": ["north"]}
+    assert (await run_command("return-domain", "north")).out == "north is in use\n"
+    assert backend.state.tables.evacuated_domains == set()
+    assert (await run_command("evacuate", "a b")).status == 1
+
+
 async def test_reports_are_shown(run_command, backend, tables_file) -> None:
     await run_command("apply", tables_file)
     await run_command("drain", "stock-9")
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/evacuation_moves.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/evacuation_moves.py
@@ -5,9 +5,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from medlarpass.ranges import RangePlanner
 from medlarpass.ranges import move_allowance
 from medlarpass.ranges import overlapping
+from medlarpass.ranges import plan_evacuation
 from medlarpass.ranges import select_moves
 from medlarpass_daemon.control.fleet import events
 
@@ -59,6 +59,8 @@
         :param assigned: ranges of the pool, sorted by key
         :param servers: servers that may get keys
         """
+        if not self.fleet.state.tables.evacuated_domains and pool not in self.started_at:
+            return
         evacuated = [assignment for assignment in assigned if self._is_evacuated(assignment)]
         self._log_progress(pool, evacuated, bool(servers))
         allowance = move_allowance(len(self.moves.tasks))
@@ -72,9 +74,10 @@
         ]
         if not free:
             return
-        planner = RangePlanner(pool, self.fleet.loads_of(pool).steady)
         # The moves in progress count for their targets, so that each step continues the plan.
-        planned = planner.assign_free(free, self.moves.ranges_after_moves(pool, assigned), servers)
+        after_moves = self.moves.ranges_after_moves(pool, assigned)
+        loads = self.fleet.loads_of(pool).steady
+        planned = plan_evacuation(pool, loads, free, after_moves, servers)
         moves = [(_owner(assigned, target.first), target) for target in planned]
         for target in select_moves(moves, self._running(pool, assigned), allowance):
             self.moves.start(assigned, target)
--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -65,6 +65,9 @@
         #: Time until which heartbeats do not arrive.
         self.silent_until = 0.0
         self.warmup_seconds = 0.0
+        self.domain = "d"
+        #: Time that the server takes to finish running requests before it confirms a release.
+        self.release_seconds = 0.0
         self.grants: list[Grant] = []
         #: First key, last key and fence of all calls to this incarnation.
         self.seen_fences: list[tuple[int, int, int]] = []
@@ -80,7 +83,7 @@
             POOL,
             "10.0.0.1",
             int(self.identity[1:]) + 1,
-            "d",
+            self.domain,
             3,
             is_leaving,
             self.warmup_seconds,
@@ -198,6 +201,8 @@
             raise ServerCallLostError(server.identity)
         if self.simulation.rng.random() < self.simulation.loss_ratio / 2:
             raise ServerCallLostError(server.identity)
+        if target.release_seconds:
+            await self.simulation.wait(target.release_seconds)
         target.release(assignment)
         return "warm"
 
@@ -233,6 +238,8 @@
         self.rng = random.Random(seed)
         self.loss_ratio = loss_ratio
         self.clock = ManualClock(1000.0)
+        #: Times and events of calls that wait.
+        self.waiting: list[tuple[float, asyncio.Event]] = []
         #: Set when connections to servers are ready; None when they are at once.
         self.connecting: asyncio.Event | None = None
         self.servers = {f"s{n}": SimulatedServer(f"s{n}", self.clock) for n in range(count)}
@@ -273,6 +280,10 @@
     async def step(self, heartbeats: bool = True) -> None:
         """Advance the simulation by a tenth of a second."""
         self.clock.advance(STEP_SECONDS)
+        for due, event in self.waiting:
+            if due <= self.clock.now():
+                event.set()
+        self.waiting = [waiting for waiting in self.waiting if not waiting[1].is_set()]
         for server in self.servers.values():
             server.apply_delayed_grants()
             is_silent = server.is_unreachable or self.clock.now() < server.silent_until
@@ -282,6 +293,12 @@
         for _ in range(20):
             await asyncio.sleep(0)
 
+    async def wait(self, seconds: float) -> None:
+        """Wait until the simulated time has passed."""
+        event = asyncio.Event()
+        self.waiting.append((self.clock.now() + seconds, event))
+        await event.wait()
+
     async def run(self, seconds: float) -> None:
         """Advance the simulation and check that no key has two owners."""
         for _ in range(round(seconds / STEP_SECONDS)):
--- a/packages/medlarpass-daemon/tests/control/operators/operators_fakes.py
+++ b/packages/medlarpass-daemon/tests/control/operators/operators_fakes.py
@@ -7,7 +7,9 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
+from typing import Any
 
 from medlarpass import MedlarpassError
 from medlarpass.control import ControlState
@@ -118,7 +120,10 @@
 
 
 def daemon_settings(
-    folder: Path, tokens: Path | None = None, tls: dict[str, str] | None = None
+    folder: Path,
+    tokens: Path | None = None,
+    tls: dict[str, str] | None = None,
+    discovers_servers: bool = True,
 ) -> DaemonSettings:
     """Return settings of a control process; the system chooses the port of the operators' API."""
     operators = (
@@ -126,7 +131,7 @@
         if tokens
         else {"mode": "unauthenticated"}
     )
-    return DaemonSettings(
+    settings = DaemonSettings(
         {
             "name": "control-1",
             "domain": "north",
@@ -149,6 +154,10 @@
             "log": {"file": "-"},
         }
     )
+    if discovers_servers:
+        fleet: Any = SimpleNamespace()
+        settings.fleet = fleet
+    return settings
 
 
 def write_tokens(path: Path, *tokens: tuple[str, str, str]) -> Path:
--- a/packages/medlarpass-daemon/tests/control/operators/test_operator_calls.py
+++ b/packages/medlarpass-daemon/tests/control/operators/test_operator_calls.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from operators_fakes import CHANGE_TOKEN
 from operators_fakes import STOCK_POOL
 from operators_fakes import STOCK_ROUTE
 from operators_fakes import daemon_settings
@@ -116,6 +117,8 @@
         ("POST", "/v1/changes", POOL_AND_ROUTE),
         ("PUT", "/v1/drains/stock-1", None),
         ("DELETE", "/v1/drains/stock-1", None),
+        ("PUT", "/v1/evacuations/north", None),
+        ("DELETE", "/v1/evacuations/north", None),
         (
             "POST",
             "/v1/replicas",
@@ -140,7 +143,15 @@
 
 
 @pytest.mark.parametrize(
-    "path", ["/v1/routes", "/v1/pools/stock", "/v1/in-force", "/v1/drains", "/v1/audit"]
+    "path",
+    [
+        "/v1/routes",
+        "/v1/pools/stock",
+        "/v1/in-force",
+        "/v1/drains",
+        "/v1/evacuations",
+        "/v1/audit",
+    ],
 )
 async def test_reads_need_a_majority_unless_stale_is_allowed(call, backend, path) -> None:
     await call("POST", "/v1/changes", POOL_AND_ROUTE, "c1")
@@ -159,6 +170,34 @@
     assert (await call("GET", "/v1/drains")).body == {"servers": []}
 
 
+async def test_evacuations_are_started_listed_audited_and_ended(call, backend) -> None:
+    """Guards against an evacuation that the fleet does not see, or that nobody can trace."""
+    assert (await call("PUT", "/v1/evacuations/north", None, "e1")).status == 200
+    assert (await call("PUT", "/v1/evacuations/north", None, "e1")).status == 200
+    assert backend.state.tables.evacuated_domains == {"north"}
+    assert (await call("GET", "/v1/evacuations")).body == {"domains": ["north"]}
+    (record,) = (await call("GET", "/v1/audit")).body["records"]
+    assert (record["author"], record["action"]) == ("amina", "evacuate north")
+    assert (await call("DELETE", "/v1/evacuations/north", None, "e2")).status == 200
+    assert (await call("GET", "/v1/evacuations")).body == {"domains": []}
+
+
+async def test_control_that_discovers_no_servers_refuses_evacuations(
+    backend, tmp_path, token_path
+) -> None:
+    """Guards against an accepted evacuation without any effect."""
+    settings = daemon_settings(tmp_path, token_path, discovers_servers=False)
+    server = OperatorsServer(settings, backend)
+    await server.start()
+    url = f"http://127.0.0.1:{server.port}/v1/evacuations/north"
+    headers = {"Authorization": f"Bearer {CHANGE_TOKEN}", "Idempotency-Key": "e1"}
+    async with aiohttp.ClientSession() as session, session.put(url, headers=headers) as response:
+        assert response.status == 422
+        assert (await response.json())["code"] == "evacuation_not_supported"
+    await server.stop()
+    assert not backend.state.tables.evacuated_domains
+
+
 async def test_in_force_names_each_place_and_the_accepted_revision(call) -> None:
     await call("POST", "/v1/changes", POOL_AND_ROUTE, "c1")
     response = await call("GET", "/v1/in-force")
--- a/packages/medlarpass-daemon/tests/control/operators/test_operator_input.py
+++ b/packages/medlarpass-daemon/tests/control/operators/test_operator_input.py
@@ -89,6 +89,8 @@
         "",
     ),
     ("control character in a server", "PUT", "/v1/drains/a%1b", None, "invalid_call"),
+    ("control character in a domain", "PUT", "/v1/evacuations/a%1b", None, "invalid_call"),
+    ("body on evacuation", "PUT", "/v1/evacuations/a", {"evacuated": False}, "invalid_call"),
     ("body on drain", "PUT", "/v1/drains/a", {"drained": False}, "invalid_call"),
     ("replica without address", "POST", "/v1/replicas", {"name": "a", "domain": "b"}, ""),
     ("host name as address", "POST", "/v1/replicas", {**REPLICA, "address": "vm-1:7"}, ""),
--- a/packages/medlarpass-daemon/tests/control/operators/test_operator_rights.py
+++ b/packages/medlarpass-daemon/tests/control/operators/test_operator_rights.py
@@ -38,6 +38,8 @@
         ("POST", "/v1/changes", {"items": []}),
         ("PUT", "/v1/drains/stock-1", None),
         ("DELETE", "/v1/drains/stock-1", None),
+        ("PUT", "/v1/evacuations/north", None),
+        ("DELETE", "/v1/evacuations/north", None),
         ("POST", "/v1/replicas", None),
         ("PUT", "/v1/replicas/r1", None),
         ("DELETE", "/v1/replicas/r1", None),
@@ -70,7 +72,16 @@
 
 
 async def test_reader_may_read(call) -> None:
-    for path in ("routes", "pools", "in-force", "servers", "grants", "drains", "audit"):
+    for path in (
+        "routes",
+        "pools",
+        "in-force",
+        "servers",
+        "grants",
+        "drains",
+        "evacuations",
+        "audit",
+    ):
         assert (await call("GET", f"/v1/{path}", token=READ_TOKEN)).status == 200
 
 
--- a/packages/medlarpass-daemon/tests/entry/callers/test_changed_routes.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_changed_routes.py
@@ -106,3 +106,31 @@
     reply = await harness.send("/orders", "POST")
     assert (reply.status, len(former_server.requests), len(new_server.requests)) == (200, 0, 1)
     assert not entry.context.server_selector.limiters[targets[0].identity].in_flight
+
+
+async def test_a_request_that_waits_for_a_connection_leaves_an_evacuated_server(
+    harness: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request sent to a domain that was evacuated after its server was chosen."""
+    servers = [await harness.start_server(), await harness.start_server()]
+    targets = list(harness.servers.targets)
+    await harness.start_entry()
+    build_exchange = attempts._build_exchange
+    evacuated: list[Any] = []
+
+    def evacuate_then_build(context: Any, request: Any, target: Any, pool: str) -> Any:
+        if not evacuated:
+            evacuated.append(target)
+            harness.servers.evacuated.add(target.identity)
+            harness.servers.targets = [other for other in targets if other != target]
+        return build_exchange(context, request, target, pool)
+
+    monkeypatch.setattr(attempts, "_build_exchange", evacuate_then_build)
+    reply = await harness.send("/orders", "POST")
+    requests = {
+        target.identity: len(server.requests)
+        for target, server in zip(targets, servers, strict=True)
+    }
+    assert reply.status == 200
+    assert requests.pop(evacuated[0].identity) == 0
+    assert list(requests.values()) == [1]
--- a/packages/medlarpass/src/medlarpass/ranges/__init__.py
+++ b/packages/medlarpass/src/medlarpass/ranges/__init__.py
@@ -4,6 +4,7 @@
 
 from medlarpass.ranges.evacuation_pace import move_allowance
 from medlarpass.ranges.evacuation_pace import select_moves
+from medlarpass.ranges.evacuation_planner import plan_evacuation
 from medlarpass.ranges.grant_expiry_tracker import GrantExpiryTracker
 from medlarpass.ranges.key_intervals import KeyIntervals
 from medlarpass.ranges.key_loads import KeyLoads
@@ -38,6 +39,7 @@
     "move_allowance",
     "overlapping",
     "parts_outside",
+    "plan_evacuation",
     "plan_rebalancing",
     "select_moves",
 ]
--- a/packages/medlarpass/tests/control/test_control_state.py
+++ b/packages/medlarpass/tests/control/test_control_state.py
@@ -23,11 +23,13 @@
     assignment = control_pb2.ShardAssignment(pool="stock", shard=3, domain="a")
     shards = control_pb2.AssignShards(assignments=[assignment])
     drain = control_pb2.SetDrain(change_id="d", server="s1", drained=True)
+    evacuation = control_pb2.SetEvacuation(change_id="e", domain="north", evacuated=True)
     return [
         control_pb2.Command(time_ms=1, apply_change=change),
         control_pb2.Command(time_ms=2, claim_order=claim),
         control_pb2.Command(time_ms=3, assign_shards=shards),
         control_pb2.Command(time_ms=4, set_drain=drain),
+        control_pb2.Command(time_ms=4, set_evacuation=evacuation),
         control_pb2.Command(time_ms=5, renew_epochs=control_pb2.RenewEpochs(domain="a")),
     ]
 
@@ -39,6 +41,7 @@
     copy = ControlState()
     copy.restore(state.snapshot())
     assert copy.snapshot() == state.snapshot()
+    assert copy.tables.evacuated_domains == {"north"}
     assert [delegation.epoch for delegation in copy.delegations.held_by("a")] == [2]
     repeated = apply_command(copy, commands()[1])
     assert repeated.claim.status == control_pb2.CLAIM_STATUS_CLAIMED
--- a/tests/platform_adapter/test_control_listener.py
+++ b/tests/platform_adapter/test_control_listener.py
@@ -11,8 +11,11 @@
 
 from medlarpass.publication import InvalidPublicationError
 from medlarpass.publication import Publication
+from medlarpass_daemon.control.fleet.exceptions import DomainNotKnownYetError
+from medlarpass_daemon.control.fleet.exceptions import EvacuationNotFollowedError
 from medlarpass_daemon.control.fleet.exceptions import NotLeadingError
 from medlarpass_daemon.control.fleet.exceptions import NotPublishedError
+from medlarpass_daemon.control.fleet.exceptions import UnknownDomainError
 from medlarpass_daemon.exceptions import UnknownResultError
 from medlarpass_daemon.settings import ListenerSettings
 from medlarpass_platform.control_listener import ControlListener
@@ -49,6 +52,9 @@
     async def retire(self, identity: str, incarnation: int | None) -> None:
         self._record("retire", identity, incarnation)
 
+    async def set_evacuation(self, domain: str, evacuated: bool) -> None:
+        self._record("set_evacuation", domain, evacuated)
+
     async def publish(self, document: Any, source: bytes) -> int:
         Publication.from_document(document)
         self._record("publish", document["version"], source)
@@ -180,3 +186,54 @@
 async def test_an_unknown_call_is_not_found(client: ListenerClient) -> None:
     """Guards against a misspelt call that is reported as successful."""
     assert (await client.call("config.push", {}))[0] == 404
+
+
+async def test_evacuations_reach_control(client: ListenerClient) -> None:
+    """Guards against an evacuation that is started in place of ended, or of another domain."""
+    assert (await client.call("evacuate.start", b"", "north"))[0] == 200
+    assert (await client.call("evacuate.end", b"", "south"))[0] == 200
+    assert client.operations.calls == [
+        ("set_evacuation", "north", True),
+        ("set_evacuation", "south", False),
+    ]
+
+
+@pytest.mark.parametrize("call", ["evacuate.start", "evacuate.end"])
+@pytest.mark.parametrize("body", [b"{}", b" ", b"x" * (9 << 20)], ids=["object", "space", "large"])
+async def test_an_evacuation_with_a_body_is_refused(
+    client: ListenerClient, call: str, body: bytes
+) -> None:
+    """Guards against a call whose body asks for something that is not done."""
+    assert (await client.call(call, body, "north"))[0] == 400
+    assert client.operations.calls == []
+
+
+async def test_an_evacuation_with_a_chunked_body_is_refused(client: ListenerClient) -> None:
+    """Guards against a body that is overlooked because its length is not announced."""
+
+    async def chunks() -> AsyncIterator[bytes]:
+        yield b"{}"
+
+    (address,) = client.listener.http.runner.addresses
+    url = f"http://127.0.0.1:{address[1]}/api/rpc?call=evacuate.start&of=north"
+    assert client.session is not None
+    async with client.session.post(url, data=chunks()) as response:
+        assert response.status == 400
+    assert client.operations.calls == []
+
+
+@pytest.mark.parametrize(
+    ("error", "status"),
+    [
+        (UnknownDomainError(""), 422),
+        (DomainNotKnownYetError(""), 503),
+        (EvacuationNotFollowedError(""), 503),
+        (NotLeadingError("10.2.0.9:7540"), 307),
+    ],
+)
+async def test_an_evacuation_that_fails_is_answered_with_its_status(
+    client: ListenerClient, error: Exception, status: int
+) -> None:
+    """Guards against a command that a caller gives up, or takes for confirmed."""
+    client.operations.error = error
+    assert (await client.call("evacuate.start", b"", "north"))[0] == status
