--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -14,6 +14,7 @@
 from medlarpass.ranges.range_planner import unassigned_ranges
 from medlarpass.replication import NotLeaderError
 from medlarpass_daemon.control.fleet import events
+from medlarpass_daemon.control.fleet.evacuation_moves import EvacuationMoves
 from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
 from medlarpass_daemon.control.fleet.range_grants import RangeGrants
 from medlarpass_daemon.control.fleet.range_moves import RangeMoves
@@ -63,6 +64,7 @@
     __slots__ = (
         "balanced_at",
         "clock",
+        "evacuations",
         "fleet",
         "grants",
         "is_balance_due",
@@ -94,6 +96,7 @@
         self.moves = RangeMoves(fleet, self.grants, clock)
         #: Decides on the traffic of all pools; set by the role.
         self.traffic_planner: TrafficPlanner | None = None
+        self.evacuations = EvacuationMoves(fleet, self.grants, self.moves, clock)
         self.leading_since = 0.0
         #: Highest number of servers seen in a pool without owners, and when it was reached.
         self.join_progress: dict[str, tuple[int, float]] = {}
@@ -121,6 +124,7 @@
         self.grants.start_term()
         if self.traffic_planner is not None:
             self.traffic_planner.start_term()
+        self.evacuations.start_term()
 
     async def step(self) -> None:
         """Check once which keys have to be granted, moved or renewed."""
@@ -176,6 +180,7 @@
         if not assigned and not self._have_servers_joined(pool, len(servers)):
             return
         self._move_from_leaving(pool, assigned, servers)
+        self.evacuations.start(pool, assigned, servers)
         free = self._free_keys(pool, assigned)
         if free.firsts and servers:
             rest = [
@@ -215,7 +220,7 @@
     def _assignable_servers(self, pool: str) -> list[PlannerServer]:
         heartbeats = [
             member.heartbeat
-            for member in self.fleet.directory.assignable(pool)
+            for member in self.fleet.assignable(pool)
             if not self.fleet.directory.is_replaced(member) and not self._is_unavailable(member)
         ]
         factors = self.fleet.speeds.weight_factors([heartbeat.identity for heartbeat in heartbeats])
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/traffic_planner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/traffic_planner.py
@@ -135,7 +135,7 @@
     def _available(self, pool: str) -> Iterable[FleetMember]:
         """Yield the servers that get new work and have sent a heartbeat recently."""
         max_silence = self.settings.silent_after * self.settings.heartbeat
-        for member in self.fleet.directory.assignable(pool):
+        for member in self.fleet.assignable(pool):
             is_silent = self.clock.now() - member.seen_at > max_silence
             if not is_silent and not self.fleet.directory.is_replaced(member):
                 yield member
