--- a/packages/medlarpass-daemon/tests/control/fleet/test_traffic_planner.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_traffic_planner.py
@@ -132,6 +132,20 @@
     assert all("b" not in targets for targets in leader.shares.values())
 
 
+def test_an_evacuated_domain_is_left_at_once() -> None:
+    """Guards against shares that are damped while no request may reach a domain."""
+    leader = Planner()
+    demand = {"a": 20.0, "b": 20.0, "c": 20.0}
+    leader.run(demand, 4.0)
+    leader.fleet.state.tables.evacuated_domains.add("b")
+    leader.run(demand, 0.5)
+    assert leader.shares.keys() == {"b"}
+    assert leader.shares["b"] == pytest.approx({"a": 0.5, "c": 0.5})
+    leader.fleet.state.tables.evacuated_domains.clear()
+    leader.run(demand, 10.0)
+    assert leader.shares == {}
+
+
 def test_a_new_leader_has_no_plan_until_entries_have_reported() -> None:
     """Guards against decisions on the first reports, and on those of an earlier leadership."""
     leader = Planner()
