--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
@@ -16,6 +16,7 @@
 from medlarpass_daemon.control.configuration_reports import ConfigurationReports
 from medlarpass_daemon.control.control_service import ControlService
 from medlarpass_daemon.control.delegator import Delegator
+from medlarpass_daemon.control.fleet.capacity_source import UnknownCapacity
 from medlarpass_daemon.control.fleet.feed_updater import FeedUpdater
 from medlarpass_daemon.control.fleet.fleet_operations import FleetOperations
 from medlarpass_daemon.control.fleet.fleet_service import FleetService
@@ -130,7 +131,7 @@
             self.log, self.fleet, self.server_calls, settings, lease, clock
         )
         self.range_keeper.traffic_planner = TrafficPlanner(
-            self.fleet, settings, clock, self.metrics
+            self.fleet, settings, clock, self.metrics, UnknownCapacity
         )
         self.membership_manager = MembershipManager(
             self.replica,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/share_log.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/share_log.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from collections.abc import Set
 
     from medlarpass import Clock
 
@@ -35,6 +36,11 @@
         """Forget the logged shares."""
         self.logged.clear()
 
+    def retain(self, pools: Set[str]) -> None:
+        """Forget the shares of pools that were deleted."""
+        for key in [key for key in self.logged if key[0] not in pools]:
+            del self.logged[key]
+
     def record(
         self, pool: str, domain: str, shares: Mapping[str, float], demand: float, capacity: float
     ) -> None:
@@ -56,18 +62,20 @@
             pool=pool,
             domain=domain,
             shares=dict(shares),
-            reason=reason_for(demand, capacity),
+            reason=reason_for(shares, demand, capacity),
             demand=round(demand, 1),
             capacity=round(capacity, 1),
         )
 
 
-def reason_for(demand: float, capacity: float) -> str:
+def reason_for(shares: Mapping[str, float], demand: float, capacity: float) -> str:
     """Return why requests of a domain are sent elsewhere or return to it."""
+    if not shares:
+        return "the domain takes its requests itself" if demand > 0 else "no demand is known"
     if capacity <= 0:
         return "no server in the domain"
     if demand > OVERLOAD_UTILISATION * capacity:
         return "demand above the capacity of the domain"
     if demand > HOME_UTILISATION * capacity:
         return "high utilisation of the domain"
-    return "the domain has spare capacity"
+    return "requests return to the domain step by step"
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/traffic_planner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/traffic_planner.py
@@ -8,10 +8,10 @@
 from medlarpass.dispatch import plan_shares
 from medlarpass.dispatch import rounded_shares
 from medlarpass.rpc import fleet_pb2
-from medlarpass_daemon.control.fleet.capacity_source import UnknownCapacity
 from medlarpass_daemon.control.fleet.share_log import ShareLog
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from medlarpass import Clock
@@ -36,19 +36,24 @@
     :param settings: settings of discovery through control
     :param clock: source of time; counts suspended time
     :param metrics: metrics of the process
+    :param capacity: returns the capacity estimate of the current term
     """
 
     __slots__ = ("capacity", "clock", "exact", "fleet", "log", "metrics", "sent", "settings")
 
     def __init__(
-        self, fleet: FleetState, settings: FleetSettings, clock: Clock, metrics: Metrics
+        self,
+        fleet: FleetState,
+        settings: FleetSettings,
+        clock: Clock,
+        metrics: Metrics,
+        capacity: Callable[[], CapacitySource],
     ) -> None:
         self.fleet = fleet
         self.settings = settings
         self.clock = clock
         self.metrics = metrics
-        #: Requests per second that servers can handle.
-        self.capacity: CapacitySource = UnknownCapacity()
+        self.capacity = capacity
         self.log = ShareLog(clock)
         #: Shares before rounding, by pool.
         self.exact: dict[str, DomainShares] = {}
@@ -82,8 +87,11 @@
         publication = self.fleet.publication
         pools = publication.pools if publication is not None else {}
         names = {name for name, pool in pools.items() if not pool.owned}
-        for name in self.exact.keys() - names:
-            del self.exact[name], self.sent[name]
+        if deleted := self.exact.keys() - names:
+            for name in deleted:
+                del self.exact[name], self.sent[name]
+            self.metrics.domain_share_leaving.clear()
+            self.log.retain(names)
         for name in names:
             self._plan_pool(pools[name])
         return [
@@ -127,7 +135,7 @@
             capacity.add(
                 heartbeat.domain,
                 heartbeat.slots,
-                self.capacity.rate_of(heartbeat.identity, heartbeat.slots),
+                self.capacity().rate_of(heartbeat.identity, heartbeat.slots),
                 COLD_RATE_RATIO * warmup_rate if is_limited and warmup_rate else None,
             )
         return capacity
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/domain_router.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/domain_router.py
@@ -4,6 +4,7 @@
 
 import random
 
+from copy import copy
 from typing import TYPE_CHECKING
 
 from medlarpass.dispatch import DomainChoice
@@ -11,7 +12,6 @@
 from medlarpass.dispatch import subset_size
 from medlarpass_daemon.entry.callers.events import DOMAIN_WITHOUT_SERVERS
 from medlarpass_daemon.entry.callers.events import TRAFFIC_PLAN_OUTDATED
-from medlarpass_daemon.entry.callers.interfaces import Target
 from medlarpass_daemon.entry.callers.preferred_servers import PreferredServers
 
 if TYPE_CHECKING:
@@ -22,6 +22,7 @@
     from collections.abc import Set
 
     from medlarpass import Clock
+    from medlarpass_daemon.entry.callers.interfaces import Target
     from medlarpass_daemon.entry.callers.metrics import CallersMetrics
     from medlarpass_daemon.entry.callers.server_selector import ServerSelector
 
@@ -175,9 +176,26 @@
                 for identity, weight in weights.items()
             },
         )
+        sharing = entry_count / max(domain_count, 1) * size / max(len(in_domain), 1)
+        self._set_sharing(known, preferred, sharing)
         self.preferred[pool, domain] = preferred
         return preferred
 
+    def _set_sharing(
+        self, previous: PreferredServers | None, preferred: PreferredServers, entries: float
+    ) -> None:
+        """Tell the limits how many entries prefer the same servers.
+
+        Otherwise the entries together would use too few slots of an overloaded server, and send
+        requests to other domains although it could run them.
+        """
+        sharing = self.selector.sharing_entries
+        if previous is not None:
+            for identity in previous.targets:
+                sharing.pop(identity, None)
+        if entries > 0:
+            sharing.update(dict.fromkeys(preferred.targets, max(entries, 1.0)))
+
     def _accepting(self, targets: Iterable[Target], tried: Set[str]) -> list[Target]:
         return [target for target in targets if self.selector.accepts_attempt(target, tried)]
 
@@ -190,15 +208,6 @@
 
 
 def _with_weight(target: Target, weight: float) -> Target:
-    return Target(
-        target.identity,
-        target.incarnation,
-        target.ip,
-        target.port,
-        target.slots,
-        target.connections,
-        target.shard,
-        target.fence,
-        target.domain,
-        weight,
-    )
+    weighted = copy(target)
+    weighted.weight = weight
+    return weighted
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
@@ -106,6 +106,7 @@
         "max_wait",
         "notices",
         "paused_until",
+        "sharing_entries",
         "waiting",
     )
 
@@ -128,6 +129,8 @@
         self.loop_lag = LoopLag(clock)
         #: Number of entries that send to the servers, 0 while unknown.
         self.entry_count = 0
+        #: Number of entries that prefer a server, by identity; the others count as used by all.
+        self.sharing_entries: dict[str, float] = {}
         #: Number of servers that are compared for a request if there are many entries.
         self.many_entries_choices = MANY_ENTRIES_CHOICE_COUNT
         #: Response count and sum of latencies in seconds since the last report, by identity.
@@ -358,6 +361,7 @@
         self.connection_backoffs.pop(identity, None)
         self.last_response_at.pop(identity, None)
         self.ejector.forget(identity)
+        self.sharing_entries.pop(identity, None)
         limiter = self.limiters.get(identity)
         if limiter is not None and not limiter.in_flight:
             del self.limiters[identity]
@@ -433,8 +437,9 @@
             limiter.slots = target.slots
             limiter.limit = min(limiter.limit, float(target.slots))
         if self.entry_count:
+            entries = self.sharing_entries.get(target.identity, self.entry_count)
             limiter.min_limit = min(
-                target.slots * MIN_REQUESTS_PER_SLOT_RATIO / self.entry_count, float(target.slots)
+                target.slots * MIN_REQUESTS_PER_SLOT_RATIO / entries, float(target.slots)
             )
             limiter.limit = max(limiter.limit, limiter.min_limit)
         return limiter
--- a/packages/medlarpass-daemon/tests/control/fleet/test_traffic_planner.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_traffic_planner.py
@@ -54,8 +54,7 @@
             domain_routing=domain_routing, heartbeat=0.5, silent_after=3
         )
         self.metrics = Metrics()
-        self.planner = TrafficPlanner(self.fleet, settings, self.clock, self.metrics)
-        self.planner.capacity = KnownCapacity()
+        self.planner = TrafficPlanner(self.fleet, settings, self.clock, self.metrics, KnownCapacity)
         self.planner.start_term()
         self.sequence = 0
         self.silent_domains: set[str] = set()
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_domain_router.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_domain_router.py
@@ -200,3 +200,22 @@
     entry.router.retain({"other"})
     assert not entry.router.choices
     assert not entry.router.preferred
+
+
+async def test_the_limit_of_preferred_servers_counts_the_entries_that_prefer_them() -> None:
+    """Guards against overloaded servers with idle slots, because 75 entries share the limit.
+
+    About 25 of them prefer the server.
+    """
+    entry = RoutedEntry()
+    entry.set_plan()
+    permit = await entry.acquire()
+    limiter = permit.limiter
+    assert limiter.min_limit == pytest.approx(3 * 2 * 3 / ENTRY_COUNT, rel=0.4)
+    assert limiter.min_limit >= 3 * 2 * 3 / ENTRY_COUNT
+    outside = next(
+        target
+        for target in entry.targets
+        if target.domain == "a" and not entry.router.keeps_connections(POOL, target)
+    )
+    assert entry.selector._limiter_for(outside).min_limit == pytest.approx(3 * 2 / ENTRY_COUNT)
