Feed the capacity of servers from the reports of entries

The leader adds the response times of each report, and relays add up the responses without a queue, so that the estimate is the same with and without a relay.

packages/medlarpass-daemon/tests/control/fleet: 107 passed.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -136,6 +136,13 @@
             self.fleet.weights.add(
                 reported.identity, reported.answers, reported.milliseconds / 1000
             )
+            self.fleet.capacity.add(
+                reported.identity,
+                reported.answers,
+                reported.milliseconds / 1000,
+                reported.unqueued_answers,
+                reported.unqueued_milliseconds / 1000,
+            )
         return self.feed.newest_publication.to_response()
 
     async def Join(self, request: fleet_pb2.JoinRequest, context: Any) -> fleet_pb2.JoinResponse:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.capacity import ServerCapacity
 from medlarpass.dispatch import ServerWeights
 from medlarpass.fleet import FleetDirectory
 from medlarpass.fleet import ServerHeartbeat
@@ -42,6 +43,7 @@
     """
 
     __slots__ = (
+        "capacity",
         "changed",
         "clock",
         "confirmed_fences",
@@ -70,6 +72,8 @@
         self.directory = FleetDirectory(clock)
         self.loads: dict[str, PoolLoads] = {}
         self.speeds = ServerSpeeds()
+        #: Requests per second that each server can handle.
+        self.capacity = ServerCapacity()
         #: Weights of the servers of pools without owners.
         self.weights = ServerWeights()
         #: Fences of the assignments that their servers have confirmed.
@@ -106,6 +110,7 @@
         self.directory = FleetDirectory(self.clock)
         self.loads.clear()
         self.speeds = ServerSpeeds()
+        self.capacity = ServerCapacity()
         self.weights = ServerWeights()
         self.led_term = term
         self.led_at = self.clock.now()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -157,6 +157,7 @@
             for loads in self.fleet.loads.values():
                 loads.apply_decay()
             self.fleet.speeds.apply_decay()
+            self.fleet.capacity.apply_decay()
             self.fleet.update_weights()
 
     async def _reconcile_pool(self, pool: str) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
@@ -39,8 +39,8 @@
         self.feed = feed
         self.channels = channels
         self.loads = KeyLoads()
-        #: Number of responses and the sum of their milliseconds, by server.
-        self.response_times: dict[str, tuple[int, int]] = {}
+        #: Sums of the reported responses, by server.
+        self.response_times: dict[str, fleet_pb2.ServerTime] = {}
         #: Set when the confirmation of a change may be waiting for the next report.
         self.urgent = asyncio.Event()
 
@@ -49,11 +49,14 @@
         for load in report.loads:
             self.loads.add(load)
         for reported in report.times:
-            count, total = self.response_times.get(reported.identity, (0, 0))
-            self.response_times[reported.identity] = (
-                count + reported.answers,
-                total + reported.milliseconds,
-            )
+            total = self.response_times.get(reported.identity)
+            if total is None:
+                total = fleet_pb2.ServerTime(identity=reported.identity)
+                self.response_times[reported.identity] = total
+            total.answers += reported.answers
+            total.milliseconds += reported.milliseconds
+            total.unqueued_answers += reported.unqueued_answers
+            total.unqueued_milliseconds += reported.unqueued_milliseconds
         if report.is_prompt:
             self.urgent.set()
 
@@ -89,8 +92,5 @@
             term=term,
             mark=feed_revision,
             loads=self.loads.pop_counts(),
-            times=[
-                fleet_pb2.ServerTime(identity=identity, answers=count, milliseconds=total)
-                for identity, (count, total) in response_times.items()
-            ],
+            times=response_times.values(),
         )
