--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -224,6 +224,9 @@
             )
             self._mark_if_retired(heartbeat.identity, heartbeat.incarnation)
             self.fleet.servers_changed()
+        changed = self.fleet.directory.update_cold(heartbeat)
+        if changed is not None:
+            self.fleet.limits.cold_changed(changed)
         self._record_server(heartbeat)
 
     def _leave_request(self, identity: str, incarnation: int) -> LeaveRequest:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_service.py
@@ -7,8 +7,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from medlarpass.fleet import FleetMember
-from medlarpass.fleet import ServerHeartbeat
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
@@ -129,6 +127,7 @@
             self.reports.add(request)
             return self.feed.newest_publication.to_response()
         self.fleet.watchers.record_report(request)
+        self.fleet.limits.add_report(request)
         for load in request.loads:
             self.fleet.loads_of(load.pool).add(load.keys, load.requests)
         for reported in request.times:
@@ -160,10 +159,7 @@
         return whole_view(
             fleet_pb2.FleetUpdate(from_follower=True),
             self.fleet.packed_publication(),
-            (
-                FleetMember(ServerHeartbeat.from_record(record), 0.0).to_proto()
-                for record in state.servers.all()
-            ),
+            (self.fleet.recorded_server(record) for record in state.servers.all()),
             (
                 fleet_pb2.FleetRange(assignment=assignment.to_proto(), phase=held)
                 for assignment in state.ranges.all()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -10,6 +10,7 @@
 from medlarpass.capacity import ServerCapacity
 from medlarpass.dispatch import ServerWeights
 from medlarpass.fleet import FleetDirectory
+from medlarpass.fleet import FleetMember
 from medlarpass.fleet import ServerHeartbeat
 from medlarpass.publication import Publication
 from medlarpass.publication import decompress_document
@@ -19,6 +20,7 @@
 from medlarpass.ranges import parts_outside
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet.fleet_feed import FleetFeed
+from medlarpass_daemon.control.fleet.server_limits import ServerLimits
 from medlarpass_daemon.control.fleet.watchers import REACHABILITY_SECONDS
 from medlarpass_daemon.control.fleet.watchers import Watchers
 from medlarpass_daemon.publication_parts import pack_publication
@@ -29,6 +31,7 @@
     from medlarpass import Clock
     from medlarpass.control import ControlState
     from medlarpass.ranges import RangeAssignment
+    from medlarpass.rpc import control_pb2
     from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
 
 HELD = fleet_pb2.RANGE_PHASE_HELD
@@ -55,6 +58,7 @@
         "lease",
         "led_at",
         "led_term",
+        "limits",
         "loads",
         "moving",
         "packed_parts",
@@ -97,6 +101,8 @@
         self.known_ranges: dict[tuple[object, ...], fleet_pb2.FleetRange] = {}
         self.packed_parts: list[fleet_pb2.PackedPublication] = []
         self.parsed_publication: Publication | None = None
+        #: Limits of cold and overloaded servers.
+        self.limits = ServerLimits(self)
         #: Set and replaced on each change.
         self.changed = asyncio.Event()
         state.observers.append(self.notify)
@@ -117,8 +123,11 @@
         self.publication_feed_revision = self.feed.feed_revision + 1
         # As a relay, this replica got the number from the previous leader.
         self.watchers.expect(self.feed.entry_count)
+        self.limits.start_term()
         for record in self.state.servers.all():
-            self.directory.record_heartbeat(ServerHeartbeat.from_record(record))
+            if self.directory.record_heartbeat(ServerHeartbeat.from_record(record)):
+                member = self.directory.members[record.identity]
+                self.limits.restore(member, self.feed.servers.items.get(record.identity))
         self.servers_changed()
 
     def end_term(self) -> None:
@@ -169,7 +178,10 @@
         if self.has_new_servers:
             sent_weights = self.weights.sent_weights
             self.feed.set_servers(
-                member.to_proto(sent_weights.get(member.heartbeat.identity, 0.0))
+                member.to_proto(
+                    sent_weights.get(member.heartbeat.identity, 0.0),
+                    self.limits.share_of(member.heartbeat.identity),
+                )
                 for member in self.directory.current()
             )
             # After an error the servers stay outdated, so that no revision is sent without them.
@@ -227,6 +239,17 @@
         if has_changed:
             self.servers_changed()
 
+    def recorded_server(self, record: control_pb2.RecordServer) -> fleet_pb2.FleetServer:
+        """Return a server of the log, with the limits that the feed had for it.
+
+        The cold time is at least the remaining one, since the feed keeps it as it was sent.
+        """
+        server = FleetMember(ServerHeartbeat.from_record(record), 0.0).to_proto()
+        known = self.feed.servers.items.get(record.identity)
+        if known is not None and known.life == record.life:
+            server.cold_ms, server.admitted = known.cold_ms, known.admitted
+        return server
+
     def overlaps_moving(self, pool: str, first: int, last: int) -> bool:
         """Return whether any of the keys is being moved."""
         moving = self.moving.get(pool)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -88,6 +88,7 @@
         self.clock = clock
         self.lease = LeaderLease(log.replica, lease, clock)
         fleet.lease = self.lease
+        fleet.limits.limits_overload = settings.capacity_planning
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
         self.leading_since = 0.0
@@ -126,6 +127,7 @@
         self.is_balance_due = now - self.balanced_at >= BALANCE_PERIOD_SECONDS
         if self.is_balance_due:
             self.balanced_at = now
+            self.fleet.limits.update()
         for pool in self.fleet.owned_pools():
             await self._reconcile_pool(pool)
         self.grants.renew()
@@ -158,6 +160,7 @@
                 loads.apply_decay()
             self.fleet.speeds.apply_decay()
             self.fleet.capacity.apply_decay()
+            self.fleet.limits.apply_decay()
             self.fleet.update_weights()
 
     async def _reconcile_pool(self, pool: str) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/report_relay.py
@@ -8,6 +8,7 @@
 
 import grpc
 
+from medlarpass.capacity import DemandCounts
 from medlarpass.ranges import KeyLoads
 from medlarpass.rpc import fleet_pb2
 from medlarpass.rpc import fleet_pb2_grpc
@@ -33,12 +34,13 @@
     :param channels: gRPC channels
     """
 
-    __slots__ = ("channels", "feed", "loads", "response_times", "urgent")
+    __slots__ = ("channels", "demands", "feed", "loads", "response_times", "urgent")
 
     def __init__(self, feed: FeedUpdater, channels: RpcChannels) -> None:
         self.feed = feed
         self.channels = channels
         self.loads = KeyLoads()
+        self.demands = DemandCounts()
         #: Sums of the reported responses, by server.
         self.response_times: dict[str, fleet_pb2.ServerTime] = {}
         #: Set when the confirmation of a change may be waiting for the next report.
@@ -48,6 +50,8 @@
         """Add the report of an entry."""
         for load in report.loads:
             self.loads.add(load)
+        for demand in report.demands:
+            self.demands.add(demand)
         for reported in report.times:
             total = self.response_times.get(reported.identity)
             if total is None:
@@ -93,4 +97,5 @@
             mark=feed_revision,
             loads=self.loads.pop_counts(),
             times=response_times.values(),
+            demands=self.demands.pop_counts(),
         )
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -140,11 +140,20 @@
     context: RequestContext, request: CallerRequest, tried: set[str]
 ) -> ServerPermit:
     refresh_route(context, request)
+    thinning = context.thinning
     if request.owned_key is None:
+        # One number for the whole attempt: each new one would be another chance of a cold server.
+        draw = thinning.draw()
 
         def usable_targets() -> Sequence[Target]:
             refresh_route(context, request)
-            return context.servers.available_servers(request.pool.name)
+            targets = context.servers.available_servers(request.pool.name)
+            return thinning.admitted_targets(
+                targets,
+                draw,
+                lambda target: target.identity not in tried
+                and context.server_selector.can_take(target),
+            )
 
         if isinstance(request, DownloadRequest):
             return await context.server_selector.acquire(
@@ -160,6 +169,7 @@
         )
     key = request.owned_key
     owner = await _wait_for_owner(context, request, key)
+    thinning.check_owner(owner, context.view_age())
 
     def owner_only() -> tuple[Target]:
         refresh_route(context, request)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -120,6 +120,29 @@
     http_status = 503
 
 
+class ServerColdError(CallerError):
+    """The servers that can run the request are cold, and their share of requests is used up.
+
+    :param retry_after: seconds until the first of them is expected to be warm
+    """
+
+    code = "server_cold"
+    http_status = 503
+
+    def __init__(self, message: str, retry_after: float) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
+
+
+class ServerOverloadedError(CallerError):
+    """The owner of the key gets more requests than it can handle; this one is over its share."""
+
+    code = "server_overloaded"
+    http_status = 503
+    # Neighbouring keys are moved to other servers within about this time.
+    retry_after = 1.0
+
+
 class ServerNotAcceptingError(CallerError):
     """The chosen server has said since its choice that it leaves, or asked for a pause."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/interfaces.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/interfaces.py
@@ -29,9 +29,16 @@
     :param fence: fence of the grant, for owned keys
     :param domain: failure domain of the server, empty if it is not relevant
     :param weight: weight for the choice among the servers of the pool
+    :param cold_until: clock reading until which requests are limited because the server is cold;
+        0 for a warm one
+    :param admitted: for the owner of a key, share of the requests for its keys that are sent to it;
+        otherwise, while the server is cold, its share of the requests of the pool. None for no
+        limit
     """
 
     __slots__ = (
+        "admitted",
+        "cold_until",
         "connections",
         "domain",
         "fence",
@@ -56,6 +63,8 @@
         fence: int | None = None,
         domain: str = "",
         weight: float = 1.0,
+        cold_until: float = 0.0,
+        admitted: float | None = None,
     ) -> None:
         self.identity = identity
         self.incarnation = incarnation
@@ -67,6 +76,8 @@
         self.fence = fence
         self.domain = domain
         self.weight = weight
+        self.cold_until = cold_until
+        self.admitted = admitted
 
 
 class Matcher(Protocol):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from typing import TYPE_CHECKING
 
 from medlarpass_daemon.entry.callers.admission import Admission
@@ -10,6 +12,7 @@
 from medlarpass_daemon.entry.callers.server_client import ServerClient
 from medlarpass_daemon.entry.callers.server_notices import ServerNotices
 from medlarpass_daemon.entry.callers.server_selector import ServerSelector
+from medlarpass_daemon.entry.callers.server_thinning import ServerThinning
 
 if TYPE_CHECKING:
     import asyncio
@@ -63,6 +66,7 @@
         "server_selector",
         "servers",
         "settings",
+        "thinning",
         "view_age",
     )
 
@@ -100,6 +104,7 @@
         #: Tasks of the orders in flight, which may outlive the connections of their callers.
         self.order_tasks: set[asyncio.Task[object]] = set()
         self.is_draining = False
+        self.thinning = ServerThinning(clock, random.Random())
         #: Returns the seconds since the last update from control, if the entry follows control.
         self.view_age: Callable[[], float | None] = lambda: None
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 from medlarpass_daemon.entry.callers.exceptions import NoOwnerError
+from medlarpass_daemon.entry.callers.exceptions import ServerColdError
+from medlarpass_daemon.entry.callers.exceptions import ServerOverloadedError
 from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
 from medlarpass_daemon.entry.callers.exceptions import ServersPausedError
@@ -21,6 +23,10 @@
 #: from retrying together.
 MIN_TARGET_RATIO = 0.25
 MAX_TARGET_RATIO = 0.5
+#: Bounds of the random factor for callers of a limited server. They return after the expected end
+#: of the limit, and not all at once.
+MIN_LIMIT_RATIO = 1.0
+MAX_LIMIT_RATIO = 1.5
 
 
 @singledispatch
@@ -49,3 +55,9 @@
 def _(error: ServersPausedError, target: float) -> float:
     # The spread keeps callers that were refused in the same pause from returning together.
     return error.retry_after + target * random.uniform(0.0, MIN_TARGET_RATIO)
+
+
+@retry_after_seconds.register(ServerColdError)
+@retry_after_seconds.register(ServerOverloadedError)
+def _(error: MedlarpassError, target: float) -> float:
+    return error.retry_after * random.uniform(MIN_LIMIT_RATIO, MAX_LIMIT_RATIO)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
@@ -208,6 +208,17 @@
         ]
         return local or targets
 
+    def can_take(self, target: Target) -> bool:
+        """Return whether a server would get a request at once."""
+        return (
+            not self.is_unresponsive(target.identity)
+            and self.notices.accepts(target)
+            and not self.notices.is_leaving(target)
+            and not self.is_backing_off(target)
+            and not self.waiting.get(target.identity)
+            and self._has_capacity(target)
+        )
+
     def _has_free_slot(self, target: Target) -> bool:
         load = self.balancer.loads.get(target.identity)
         return load is None or load.in_flight < max(target.slots // 2, 1)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/entry_reports.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/entry_reports.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from medlarpass.capacity import DemandCounts
     from medlarpass.ranges import KeyLoads
     from medlarpass_daemon.entry.fleet.fleet_watcher import FleetWatcher
     from medlarpass_daemon.entry.fleet.publication_age import PublicationAge
@@ -34,9 +35,10 @@
     :param loads: loads to report
     :param take_response_times: returns the count and total seconds of responses by server since
         the last call
+    :param demands: requests by pool to report
     """
 
-    __slots__ = ("loads", "publication_age", "take_response_times", "watcher")
+    __slots__ = ("demands", "loads", "publication_age", "take_response_times", "watcher")
 
     def __init__(
         self,
@@ -44,11 +46,13 @@
         publication_age: PublicationAge,
         loads: KeyLoads,
         take_response_times: Callable[[], dict[str, tuple[int, float]]],
+        demands: DemandCounts,
     ) -> None:
         self.watcher = watcher
         self.publication_age = publication_age
         self.loads = loads
         self.take_response_times = take_response_times
+        self.demands = demands
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -89,6 +93,7 @@
             term=self.watcher.term,
             mark=self.watcher.feed_revision,
             is_prompt=is_prompt,
+            demands=self.demands.pop_counts(),
         )
 
     def _log_overdue(self) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -77,7 +77,7 @@
         self.metrics = metrics
         loads = KeyLoads()
         age = PublicationAge(clock, settings.fleet.apply_within)
-        self.routing = FleetRouting(age)
+        self.routing = FleetRouting(age, settings.domain)
         self.servers = FleetServers(self.routing, loads, clock)
         self.callers = CallersServer(
             settings,
@@ -99,7 +99,11 @@
             channels,
         )
         self.reports = EntryReports(
-            self.watcher, age, loads, self.callers.context.server_selector.take_latencies
+            self.watcher,
+            age,
+            loads,
+            self.callers.context.server_selector.take_latencies,
+            self.routing.demands,
         )
         self.tasks: list[asyncio.Task[None]] = []
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_routing.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.capacity import DemandCounts
 from medlarpass.publication import PrefixMatcher
 from medlarpass.publication import Publication
 from medlarpass.publication import PublishedRoute
@@ -73,12 +74,25 @@
     """Newest publication that this entry has received; an older one never replaces it.
 
     :param age: age of the publication in force
+    :param domain: failure domain of this entry
     """
 
-    __slots__ = ("age", "changed", "choices", "matcher", "pools", "publication")
-
-    def __init__(self, age: PublicationAge) -> None:
+    __slots__ = (
+        "age",
+        "changed",
+        "choices",
+        "demands",
+        "domain",
+        "matcher",
+        "pools",
+        "publication",
+    )
+
+    def __init__(self, age: PublicationAge, domain: str = "") -> None:
         self.age = age
+        self.domain = domain
+        #: Requests of callers that control has not been told yet.
+        self.demands = DemandCounts()
         self.publication: Publication | None = None
         self.matcher: AgeCheckedMatcher | UnpublishedMatcher = UnpublishedMatcher()
         self.pools: dict[str, PublishedPool] = {}
@@ -92,9 +106,12 @@
         return self.publication.version if self.publication is not None else 0
 
     def pool_of(self, route: Route) -> Pool:
-        """Return the pool for the next request of a route."""
+        """Return the pool for the next request of a route, and count the request."""
         choice = self.choices.get(route.name)
-        return self.pools[choice.next() if choice is not None else route.pool]
+        pool = self.pools[choice.next() if choice is not None else route.pool]
+        priority = route.priority if isinstance(route, PublishedRoute) else 0
+        self.demands.count(pool.name, self.domain, priority)
+        return pool
 
     def apply_part(
         self, part: fleet_pb2.PackedPublication, assembler: PublicationAssembler
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
@@ -6,12 +6,14 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.publication import PublishedPool
 from medlarpass.ranges import PoolRanges
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.entry.callers import NoOwnerError
 from medlarpass_daemon.entry.callers.exceptions import InvalidHeaderError
 from medlarpass_daemon.entry.callers.interfaces import Target
 from medlarpass_daemon.entry.fleet.events import RANGES_LEARNED
+from medlarpass_daemon.entry.fleet.events import SERVER_COLD
 from medlarpass_daemon.entry.fleet.events import SERVER_DROPPED
 from medlarpass_daemon.entry.fleet.events import SERVER_RETIRED
 from medlarpass_daemon.entry.fleet.events import SERVERS_LEARNED
@@ -47,6 +49,7 @@
     __slots__ = (
         "change_event",
         "clock",
+        "cold_until",
         "is_complete",
         "last_update_at",
         "loads",
@@ -71,6 +74,8 @@
         self.servers_in_view: set[str] = set()
         #: Clock reading when this entry learned that a server is leaving, by identity.
         self.retired_at: dict[str, float] = {}
+        #: Clock reading at which the cold time of a server ends, by identity.
+        self.cold_until: dict[str, float] = {}
         self.ranges: dict[str, PoolRanges] = {}
         #: Servers that may get new requests by pool, built on first use after a change.
         self.targets: dict[str, list[Target]] = {}
@@ -187,6 +192,12 @@
             fence,
             server.domain,
             server.weight / 1000 if server.weight else 1.0,
+            (
+                self.cold_until.get(server.identity, 0.0)
+                if isinstance(pool, PublishedPool) and pool.warmup_rate is not None
+                else 0.0
+            ),
+            server.admitted / 1_000_000 if server.admitted else None,
         )
 
     def _apply_server(self, server: fleet_pb2.FleetServer) -> None:
@@ -197,13 +208,35 @@
             if known.life == server.life and known.phase == RETIRED:
                 return
         self.servers[server.identity] = server
+        self._apply_cold_time(server, known)
         if server.phase == RETIRED:
             self.retired_at[server.identity] = self.clock.now()
             SERVER_RETIRED.log(server=server.identity, life=server.life, pool=server.pool)
 
+    def _apply_cold_time(
+        self, server: fleet_pb2.FleetServer, known: fleet_pb2.FleetServer | None
+    ) -> None:
+        """Start or end the cold time of a server.
+
+        The message repeats the time when another field changes; the end stays the same then.
+        """
+        if not server.cold_ms:
+            self.cold_until.pop(server.identity, None)
+            return
+        if (
+            known is not None
+            and (known.life, known.cold_ms) == (server.life, server.cold_ms)
+            and server.identity in self.cold_until
+        ):
+            return
+        seconds = server.cold_ms / 1000
+        self.cold_until[server.identity] = self.clock.now() + seconds
+        SERVER_COLD.log(server=server.identity, pool=server.pool, seconds=seconds)
+
     def _remove(self, gone: Iterable[str]) -> None:
         for identity in list(gone):
             self.retired_at.pop(identity, None)
+            self.cold_until.pop(identity, None)
             if self.servers.pop(identity, None) is not None:
                 SERVER_DROPPED.log(server=identity)
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
@@ -24,6 +24,7 @@
     __slots__ = (
         "adapter",
         "apply_within",
+        "capacity_planning",
         "first_start",
         "heartbeat",
         "hold",
@@ -40,6 +41,8 @@
         self.apply_within: float = document["apply_within"]
         #: Addresses of the control listener on some VMs.
         self.seeds: list[str] = document["seeds"]
+        #: Whether keys are planned by the capacity of servers, and overloaded servers are limited.
+        self.capacity_planning: bool = document["capacity_planning"]
         #: Whether the whole system starts for the first time, with empty data folders.
         self.first_start: bool = document["first_start"]
         #: Listener of control for servers and platform operators; only with the control role.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -177,6 +177,7 @@
     vol.Optional("longest_hold", default="60s"): duration("500ms", "60s"),
     vol.Optional("retry_ratio", default=0.2): ratio,
     vol.Optional("apply_within", default="2s"): duration("500ms", "60s"),
+    vol.Optional("capacity_planning", default=False): bool,
     vol.Optional("silent_after", default=3): count(1, 100),
 }
 
--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -253,7 +253,9 @@
     def start_leader(self) -> None:
         """Start a new leader, which only knows the log."""
         self.fleet = FleetState(self.state, self.clock)
-        settings: Any = SimpleNamespace(hold=GRANT_LEASE_SECONDS, heartbeat=0.5, silent_after=3)
+        settings: Any = SimpleNamespace(
+            hold=GRANT_LEASE_SECONDS, heartbeat=0.5, silent_after=3, capacity_planning=False
+        )
         log: Any = self.log
         self.keeper = RangeKeeper(
             log, self.fleet, SimulatedServerCalls(self), settings, 0.6, self.clock
--- a/packages/medlarpass/src/medlarpass/capacity/__init__.py
+++ b/packages/medlarpass/src/medlarpass/capacity/__init__.py
@@ -2,6 +2,22 @@
 
 from __future__ import annotations
 
+from medlarpass.capacity.cold_time import ColdTime
+from medlarpass.capacity.demand_counts import DemandCounts
+from medlarpass.capacity.demand_rates import DemandRates
+from medlarpass.capacity.demand_rates import counted_seconds
+from medlarpass.capacity.pool_traffic import PoolTraffic
+from medlarpass.capacity.pool_traffic import ServerTraffic
+from medlarpass.capacity.server_admission import ServerAdmission
 from medlarpass.capacity.server_capacity import ServerCapacity
 
-__all__ = ["ServerCapacity"]
+__all__ = [
+    "ColdTime",
+    "DemandCounts",
+    "DemandRates",
+    "PoolTraffic",
+    "ServerAdmission",
+    "ServerCapacity",
+    "ServerTraffic",
+    "counted_seconds",
+]
--- a/packages/medlarpass/src/medlarpass/fleet/fleet_directory.py
+++ b/packages/medlarpass/src/medlarpass/fleet/fleet_directory.py
@@ -53,6 +53,17 @@
         self.members[heartbeat.identity] = FleetMember(heartbeat, now)
         return True
 
+    def update_cold(self, heartbeat: ServerHeartbeat) -> FleetMember | None:
+        """Apply the cold time of a heartbeat that has been recorded, unless it was outdated.
+
+        :returns: the server if entries have to be told, else None
+        """
+        member = self.members.get(heartbeat.identity)
+        if member is None or member.heartbeat is not heartbeat:
+            return None
+        has_change = member.cold.update(heartbeat.warmup_seconds, self.clock.now())
+        return member if has_change else None
+
     def has_joined(self, heartbeat: ServerHeartbeat) -> bool:
         """Return whether the incarnation that sent a heartbeat is known in the same pool."""
         known = self.members.get(heartbeat.identity)
--- a/packages/medlarpass/src/medlarpass/fleet/fleet_member.py
+++ b/packages/medlarpass/src/medlarpass/fleet/fleet_member.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.capacity import ColdTime
 from medlarpass.rpc import fleet_pb2
 
 if TYPE_CHECKING:
@@ -17,18 +18,21 @@
     :param seen_at: time at which it arrived, in seconds
     """
 
-    __slots__ = ("heartbeat", "is_retired", "seen_at")
+    __slots__ = ("cold", "heartbeat", "is_retired", "seen_at")
 
     def __init__(self, heartbeat: ServerHeartbeat, seen_at: float) -> None:
         self.heartbeat = heartbeat
         self.seen_at = seen_at
         #: Whether this incarnation gets no new work.
         self.is_retired = False
+        #: Cold time that entries are told.
+        self.cold = ColdTime()
 
-    def to_proto(self, weight: float = 0.0) -> fleet_pb2.FleetServer:
+    def to_proto(self, weight: float = 0.0, admitted: float = 0.0) -> fleet_pb2.FleetServer:
         """Return the message for entries.
 
         :param weight: share of its pool's requests; 0 for the default share
+        :param admitted: admitted share of requests; 0 without a limit
         """
         heartbeat = self.heartbeat
         retired = fleet_pb2.SERVER_PHASE_RETIRED
@@ -42,4 +46,6 @@
             slots=heartbeat.slots,
             weight=round(weight * 1000),
             phase=retired if self.is_retired else fleet_pb2.SERVER_PHASE_READY,
+            cold_ms=self.cold.sent_ms,
+            admitted=round(admitted * 1_000_000),
         )
--- a/packages/medlarpass/src/medlarpass/publication/publication.py
+++ b/packages/medlarpass/src/medlarpass/publication/publication.py
@@ -60,6 +60,8 @@
     vol.Required("name"): NON_EMPTY_TEXT,
     vol.Required("owned"): bool,
     vol.Required("connections"): vol.All(_validate_integer, vol.Range(min=1)),
+    vol.Optional("warmup_seconds"): POSITIVE_NUMBER,
+    vol.Optional("warmup_rate"): POSITIVE_NUMBER,
 }
 SCHEMA = vol.Schema(
     {
--- a/packages/medlarpass/src/medlarpass/ranges/__init__.py
+++ b/packages/medlarpass/src/medlarpass/ranges/__init__.py
@@ -16,6 +16,7 @@
 from medlarpass.ranges.range_planner import RangePlanner
 from medlarpass.ranges.range_planner import apply_moves
 from medlarpass.ranges.range_planner import plan_rebalancing
+from medlarpass.ranges.range_planner import server_loads
 from medlarpass.ranges.range_table import RangeTable
 from medlarpass.ranges.server_speeds import ServerSpeeds
 
@@ -36,4 +37,5 @@
     "overlapping",
     "parts_outside",
     "plan_rebalancing",
+    "server_loads",
 ]
--- a/packages/medlarpass/src/medlarpass/ranges/range_planner.py
+++ b/packages/medlarpass/src/medlarpass/ranges/range_planner.py
@@ -263,16 +263,28 @@
     return [*rest, *moves]
 
 
-def _server_loads(
-    loads: RangeLoads, assigned: Iterable[RangeAssignment], servers: Sequence[PlannerServer]
+def server_loads(
+    loads: RangeLoads, assigned: Iterable[RangeAssignment], identities: Iterable[str]
 ) -> dict[str, float]:
-    sums = {server.identity: 0.0 for server in servers}
+    """Return the load of the ranges of each server, by identity.
+
+    :param loads: load of the keys
+    :param assigned: ranges with their owners
+    :param identities: servers whose load is returned
+    """
+    sums = dict.fromkeys(identities, 0.0)
     for assignment in assigned:
         if assignment.identity in sums:
             sums[assignment.identity] += loads.load_between(assignment.first, assignment.last)
     return sums
 
 
+def _server_loads(
+    loads: RangeLoads, assigned: Iterable[RangeAssignment], servers: Sequence[PlannerServer]
+) -> dict[str, float]:
+    return server_loads(loads, assigned, (server.identity for server in servers))
+
+
 def unassigned_ranges(ranges: Iterable[RangeAssignment]) -> list[tuple[int, int]]:
     """Return the first and last key of each gap between the assignments.
 
