--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -279,11 +279,18 @@
             server.apply_delayed_grants()
             is_silent = server.is_unreachable or self.clock.now() < server.silent_until
             if heartbeats and server.is_up and not is_silent:
-                self.fleet.directory.record_heartbeat(server.heartbeat())
+                self.receive(server.heartbeat())
         await self.keeper.step()
         for _ in range(20):
             await asyncio.sleep(0)
 
+    def receive(self, heartbeat: ServerHeartbeat) -> None:
+        """Record a heartbeat as the leader does."""
+        self.fleet.directory.record_heartbeat(heartbeat)
+        changed = self.fleet.directory.update_cold(heartbeat)
+        if changed is not None:
+            self.fleet.limits.cold_changed(changed)
+
     async def run(self, seconds: float) -> None:
         """Advance the simulation and check that no key has two owners."""
         for _ in range(round(seconds / STEP_SECONDS)):
--- a/packages/medlarpass-daemon/tests/entry/callers/test_retry_after.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_retry_after.py
@@ -8,6 +8,8 @@
 
 from medlarpass_daemon.entry.callers.exceptions import KeyMovedError
 from medlarpass_daemon.entry.callers.exceptions import RoutesUnknownError
+from medlarpass_daemon.entry.callers.exceptions import ServerColdError
+from medlarpass_daemon.entry.callers.exceptions import ServerOverloadedError
 from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
 from medlarpass_daemon.entry.callers.retry_after import retry_after_seconds
@@ -40,3 +42,17 @@
     """Guards against a wait that does not depend on the error."""
     error = RoutesUnknownError("none yet")
     assert retry_after_seconds(error, TARGET_SECONDS) == error.retry_after
+
+
+@pytest.mark.parametrize(
+    ("error", "seconds"),
+    [(ServerColdError("cold", 8.0), 8.0), (ServerOverloadedError("busy"), 1.0)],
+)
+def test_callers_of_a_limited_server_retry_apart_after_its_limit(
+    error: MedlarpassError, seconds: float
+) -> None:
+    """Guards against callers that return together, or while the server is still limited."""
+    times = sorted(retry_after_seconds(error, TARGET_SECONDS) for _ in range(200))
+    assert times[0] >= seconds
+    assert times[-1] <= 1.5 * seconds
+    assert times[-1] - times[0] > 0.4 * seconds
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_servers.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_fleet_servers.py
@@ -158,3 +158,46 @@
     known.apply(last)
     assert set(known.servers) == {"b", "c"}
     assert known.is_complete
+
+
+def cold_view(clock: ManualClock) -> FleetServers:
+    """Return the view of an entry whose publication limits cold servers."""
+    routing = routing_of()
+    document = {"owned": True, "connections": 100, "warmup_rate": 4.0}
+    routing.pools = {"stock": PublishedPool("stock", document)}
+    fleet_servers = FleetServers(routing, KeyLoads(), clock)
+    fleet_servers.apply(update(server("a"), ranges=[held(0, 65_535, "a", 1)]))
+    return fleet_servers
+
+
+def cold_server(cold_ms: int, admitted: int, weight: int = 0) -> fleet_pb2.FleetServer:
+    """Return a cold server of the pool."""
+    message = server("a")
+    message.cold_ms, message.admitted, message.weight = cold_ms, admitted, weight
+    return message
+
+
+async def test_a_cold_time_is_counted_on_the_clock_of_the_entry() -> None:
+    """Guards against a cold time that starts again with each message about the server."""
+    clock = ManualClock(50.0)
+    view = cold_view(clock)
+    assert view.owner_of(POOL, "5").cold_until == 0.0
+    view.apply(update(cold_server(10_000, 250_000)))
+    owner = view.owner_of(POOL, "5")
+    assert (owner.cold_until, owner.admitted) == (60.0, 0.25)
+    clock.advance(4.0)
+    view.apply(update(cold_server(10_000, 200_000, weight=900)))
+    owner = view.owner_of(POOL, "5")
+    assert (owner.cold_until, owner.admitted) == (60.0, 0.2)
+    view.apply(update(cold_server(10_001, 200_000)))
+    assert view.owner_of(POOL, "5").cold_until == pytest.approx(64.001)
+    assert view.available_servers("stock")[0].cold_until == pytest.approx(64.001)
+    view.apply(update(server("a")))
+    owner = view.owner_of(POOL, "5")
+    assert (owner.cold_until, owner.admitted) == (0.0, None)
+
+
+async def test_without_a_warmup_rate_no_server_counts_as_cold(known: FleetServers) -> None:
+    """Guards against limits in deployments that publish no rate."""
+    known.apply(update(cold_server(10_000, 0)))
+    assert known.owner_of(POOL, "5").cold_until == 0.0
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -205,6 +205,36 @@
     assert formats.parse_heartbeat("i-1", body).ip == "::1"
 
 
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, (None, None)),
+        ({"slow_start_s": 30, "warmup_per_s": 2.5}, (30, 2.5)),
+        ({"slow_start_s": 0, "warmup_per_s": None}, (None, None)),
+    ],
+    ids=["older", "both", "no limit"],
+)
+def test_the_warm_up_of_a_pool_is_read(
+    fields: dict[str, Any], expected: tuple[float | None, float | None]
+) -> None:
+    """Guards against a cold server that gets the load of a warm one."""
+    first, second = CONFIGURATION["upstreams"]
+    configuration = {**CONFIGURATION, "upstreams": [{**first, **fields}, second]}
+    document = formats.parse_publication(json.dumps(configuration).encode())
+    pool = Publication.from_json(Publication.from_document(document).to_json()).pools["rolls"]
+    assert (pool.warmup_seconds, pool.warmup_rate) == expected
+
+
+@pytest.mark.parametrize("value", [-1, "2", True, [2], {}])
+@pytest.mark.parametrize("name", ["slow_start_s", "warmup_per_s"])
+def test_an_invalid_warm_up_is_refused(name: str, value: Any) -> None:
+    """Guards against a limit that fails only once a server is cold."""
+    first, second = CONFIGURATION["upstreams"]
+    configuration = {**CONFIGURATION, "upstreams": [{**first, name: value}, second]}
+    with pytest.raises(InvalidPublicationError):
+        Publication.from_document(formats.parse_publication(json.dumps(configuration).encode()))
+
+
 def test_a_configuration_that_is_cut_short_is_refused() -> None:
     """Guards against applying a truncated configuration."""
     body = json.dumps(CONFIGURATION).encode()
