--- a/packages/medlarpass-cli/src/medlarpass_cli/request_explanation.py
+++ b/packages/medlarpass-cli/src/medlarpass_cli/request_explanation.py
@@ -26,6 +26,8 @@
     "servers_busy": "no free slot at the servers that may run it: see its range moves and the load",
     "server_refused": "the server shed the request, or no longer held its key",
     "servers_paused": "the servers that may run it had asked for no requests: see event 4105",
+    "server_cold": "the servers that may run it were cold: see events 5125 and 6160",
+    "server_overloaded": "its key belongs to a server with too many requests: see event 6162",
     "servers_leaving": "the servers that may run it were leaving: see event 4104",
     "routes_unknown": "the entry had just started and had no routes yet",
     "answer_lost": "the connection to the server was lost before the response was complete",
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/server_limits.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/server_limits.py
@@ -153,9 +153,10 @@
     def _log_changes(self, pool: PublishedPool, before: dict[str, float]) -> None:
         for identity, share in before.items():
             now = self.share_of(identity)
-            if bool(now) != bool(share):
-                event = events.SERVER_LIMITED if now else events.SERVER_UNLIMITED
-                event.log(server=identity, pool=pool.name, share=round(now, 6))
+            if now and not share:
+                events.SERVER_LIMITED.log(server=identity, pool=pool.name, share=round(now, 6))
+            elif share and not now:
+                events.SERVER_UNLIMITED.log(server=identity, pool=pool.name)
 
     def _traffic(self, pool: PublishedPool, members: Sequence[FleetMember]) -> PoolTraffic:
         window = self.window()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
@@ -28,6 +28,8 @@
         "in_flight",
         "labelled",
         "latency",
+        "least_admitted",
+        "limited",
         "not_accepting",
         "queued",
         "refusals",
@@ -65,6 +67,18 @@
             ("reason",),
             registry=registry,
         )
+        self.limited = Gauge(
+            "medlarpass_servers_limited",
+            "Servers that get only a share of their requests from this entry",
+            ("reason",),
+            registry=registry,
+        )
+        self.least_admitted = Gauge(
+            "medlarpass_least_admitted_share",
+            "Least share of the requests for the keys of an owner that this entry sends",
+            registry=registry,
+        )
+        self.least_admitted.set(1.0)
         self.latency = Histogram(
             "medlarpass_request_seconds",
             "Time from the arrival of a request to the end of its answer",
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -91,6 +91,10 @@
             settings.fleet.load_adapter().dialect,
         )
         self.callers.context.view_age = self.servers.view_age
+        limited = self.callers.metrics.limited
+        limited.labels("cold").set_function(self.servers.count_cold)
+        limited.labels("overloaded").set_function(self.servers.count_overloaded)
+        self.callers.metrics.least_admitted.set_function(self.servers.least_admitted_share)
         self.watcher = FleetWatcher(
             settings,
             seeds,
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
@@ -136,6 +136,26 @@
             self.targets[pool_name] = targets
         return targets
 
+    def count_cold(self) -> int:
+        """Return the number of servers that are limited because they are cold."""
+        now = self.clock.now()
+        return sum(self._target(server).cold_until > now for server in self.servers.values())
+
+    def count_overloaded(self) -> int:
+        """Return the number of servers that are limited because of overload."""
+        return sum(bool(server.admitted) and not server.cold_ms for server in self.servers.values())
+
+    def least_admitted_share(self) -> float:
+        """Return the least share that is sent to an owner of keys; 1 without a limit."""
+        shares = [
+            server.admitted / 1_000_000
+            for server in self.servers.values()
+            if server.admitted
+            and (pool := self.routing.pools.get(server.pool)) is not None
+            and pool.owned
+        ]
+        return min(shares, default=1.0)
+
     def owner_of(self, pool: Pool, key: str) -> Target:
         """Return the server that holds a key.
 
