Play evacuations and cold servers in the fault soak

Cause: the soak did not know evacuated failure domains and cold servers.

A request 5 s after a confirmed evacuation, or more than 1.5 times the rate plus 8 requests in a second at a server that has said that it is cold, is a violation.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,6 +28,9 @@
     314: "keys reassigned while a restarted server held them by a renewal",
     502: "the same after late heartbeats, and an order answered 503 by a copied refusal that ran",
 }
+#: Seed in which a failure domain is evacuated in turn and servers start cold. Before cold servers
+#: were limited, a cold server got 15 and 16 requests in a second, where 14 are allowed.
+EVACUATION_SEED = 3
 #: Same as the default of ``tools.soak``, because another duration gives another plan.
 FAULT_DURATION_SECONDS = 12.0
 
@@ -40,6 +43,15 @@
     assert any(request.status == 200 for request in soak.requests)
 
 
+async def test_evacuations_and_cold_servers_are_respected_under_random_faults(
+    tmp_path: Path,
+) -> None:
+    """Guards against requests at servers of an evacuated domain, or too many at a cold server."""
+    soak = Soak(EVACUATION_SEED, tmp_path, FAULT_DURATION_SECONDS, has_evacuations=True)
+    assert await soak.run() == []
+    assert any(request.status == 200 for request in soak.requests)
+
+
 def test_a_seed_gives_the_same_plan() -> None:
     """Guards against a failed seed that can't be reproduced."""
     names = (["c0", "c1", "c2"], ["e0", "e1"], ["s0", "s1"])
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -26,11 +26,16 @@
     parser.add_argument(
         "--pauses", action="store_true", help="servers also ask for no requests for a time"
     )
+    parser.add_argument(
+        "--evacuations",
+        action="store_true",
+        help="a failure domain is also evacuated in turn, and servers start cold",
+    )
     options = parser.parse_args()
     failed_count = 0
     for seed in range(options.first, options.first + options.count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = Soak(seed, folder, options.seconds, options.pauses)
+        soak = Soak(seed, folder, options.seconds, options.pauses, options.evacuations)
         violations = asyncio.run(soak.run())
         served = sum(request.status == 200 for request in soak.requests)
         print(f"seed {seed}: {served} of {len(soak.requests)} served, {len(soak.plan)} faults")
--- a/tools/soak/fleet_system.py
+++ b/tools/soak/fleet_system.py
@@ -20,6 +20,7 @@
 import yaml
 
 from tools.bench.ports import LOOPBACK
+from tools.soak.stand_in_server import COLD_SECONDS
 from tools.soak.stand_in_server import SERVERS_IP
 from tools.soak.stand_in_server import StandInServer
 
@@ -107,6 +108,10 @@
         self.stalls: list[tuple[float, float]] = []
         #: Tells whether a fault since a time excuses what an entry sends to a server.
         self.is_excused: Callable[[str, str, float], bool] = lambda *_: False
+        #: Time at which the evacuation of a failure domain was confirmed; None while there is none.
+        self.evacuated_at: float | None = None
+        #: Requests per second that a cold server bears; 0 if servers are never cold.
+        self.warmup_rate = 0.0
         #: Descriptions of violated guarantees.
         self.violations: list[str] = []
 
@@ -258,9 +263,12 @@
                 )
 
     async def call_control(self, call: str, body: Any) -> tuple[int, str]:
-        """Call control, trying its replicas in turn; the status is 0 when none responds."""
+        """Call control, trying its replicas in turn; the status is 0 when none responds.
+
+        :param body: JSON document; None for a call without a body
+        """
         assert self.session is not None
-        data = json.dumps(body).encode()
+        data = json.dumps(body).encode() if body is not None else None
         for ip in self.control_ips:
             url = f"http://{ip}:{self.ports['control']}/api/rpc?call={call}"
             timeout = aiohttp.ClientTimeout(total=2)
@@ -305,6 +313,9 @@
             {"name": pool_name, "max_connections": 100, "sharded": pool_name == "stock"}
             for pool_name in request_types
         ]
+        if self.warmup_rate:
+            for pool in pools:
+                pool |= {"slow_start_s": COLD_SECONDS, "warmup_per_s": self.warmup_rate}
         return {"version": f"r{version}", "routes": routes, "upstreams": pools, "limits": {}}
 
     async def send_request(
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -19,6 +19,7 @@
 from tools.soak.soak_plan import Fault
 from tools.soak.soak_plan import FaultKind
 from tools.soak.soak_plan import soak_plan
+from tools.soak.stand_in_server import WARMUP_RATE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -51,6 +52,12 @@
 #: Kinds of request that run at most once.
 ORDER_KINDS = frozenset({"orders", "bookings"})
 SERVER_COUNTS = {"stock": 4, "orders": 2, "art": 2}
+#: Failure domain that is evacuated in turn with half of the servers, and bounds of the times for
+#: which it is evacuated and used again. The former is longer than the 5 s after which servers of an
+#: evacuated domain must get no requests.
+EVACUATED_DOMAIN = "south"
+EVACUATION_SECONDS = (6.0, 8.0)
+RETURN_SECONDS = (1.0, 3.0)
 
 
 class Request:
@@ -74,11 +81,21 @@
     :param folder: empty folder for settings, data and logs
     :param seconds: duration of the plan
     :param has_pauses: whether servers also ask for no requests when they refuse one
+    :param has_evacuations: whether a failure domain with half of the servers is also evacuated, and
+        servers are cold after a start and after an evacuation
     """
 
-    def __init__(self, seed: int, folder: Path, seconds: float, has_pauses: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        folder: Path,
+        seconds: float,
+        has_pauses: bool = False,
+        has_evacuations: bool = False,
+    ) -> None:
         self.seed = seed
         self.has_pauses = has_pauses
+        self.has_evacuations = has_evacuations
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.relays = RelayNetwork()
@@ -106,11 +123,14 @@
                 asyncio.create_task(self._keep_running()),
                 asyncio.create_task(self._watch_loop()),
             ]
+            if self.has_evacuations:
+                background_tasks.append(asyncio.create_task(self._evacuate_in_turn()))
             await asyncio.gather(*(self._inject_fault(fault) for fault in self.plan))
             recovered = await self._recover()
             for task in background_tasks:
                 task.cancel()
             await asyncio.gather(*background_tasks, return_exceptions=True)
+            self.system.evacuated_at = None
             if recovered:
                 await self._check_last_version()
             self._check_requests()
@@ -120,12 +140,16 @@
         return self.system.violations
 
     async def _start(self) -> None:
+        if self.has_evacuations:
+            self.system.warmup_rate = WARMUP_RATE
         await self.system.start()
         await self.system.publish(1)
         for pool, count in SERVER_COUNTS.items():
             for number in range(count):
                 server = await self.system.add_server(pool, f"{pool}-{number}", pool == "stock")
                 server.delay = self.rng.uniform(0.0, 0.2)
+                if self.has_evacuations and number % 2:
+                    server.zone = EVACUATED_DOMAIN
                 if pool == "stock":
                     server.faults = random.Random(f"{self.seed} {server.identity}")
                     server.has_pauses = self.has_pauses
@@ -262,6 +286,26 @@
             self.confirmed.append((self.sent_version, time.monotonic()))
             await asyncio.sleep(self.rng.uniform(0.0, 1.0))
 
+    async def _evacuate_in_turn(self) -> None:
+        """Evacuate a failure domain and take it back, again and again."""
+        rng = random.Random(f"{self.seed} evacuations")
+        while True:
+            await asyncio.sleep(rng.uniform(*RETURN_SECONDS))
+            await self._order_evacuation("start")
+            self.system.evacuated_at = time.monotonic()
+            await asyncio.sleep(rng.uniform(*EVACUATION_SECONDS))
+            self.system.evacuated_at = None
+            for server in self.system.servers:
+                if server.zone == EVACUATED_DOMAIN:
+                    server.become_cold()
+            await self._order_evacuation("end")
+
+    async def _order_evacuation(self, order: str) -> None:
+        await self.system.wait_until(
+            lambda: self.system.call_control(f"evacuate.{order}&of={EVACUATED_DOMAIN}", None),
+            lambda result: result[0] == 200,
+        )
+
     async def _read_publications(self) -> None:
         """Read the publication repeatedly."""
         while True:
--- a/tools/soak/stand_in_server.py
+++ b/tools/soak/stand_in_server.py
@@ -29,6 +29,16 @@
 DRAIN_SECONDS = 2.0
 #: Maximum delay of the first heartbeat of a faulty server after a restart.
 MAX_FIRST_HEARTBEAT_DELAY_SECONDS = 2.5
+#: Time for which a server is cold, the requests per second that it bears meanwhile, and the bound
+#: of the users for the requests in any second.
+COLD_SECONDS = 3.0
+WARMUP_RATE = 4.0
+MAX_COLD_REQUESTS = WARMUP_RATE * 1.5 + 8
+#: Time after the first heartbeat that says so until entries must know that a server is cold.
+COLD_NOTICE_SECONDS = 1.0
+#: Rule of the users: no request reaches a server later than this after the evacuation of its domain
+#: was confirmed.
+EVACUATION_SECONDS = 5.0
 #: IP address of all stand-in servers.
 SERVERS_IP = "127.0.0.31"
 
@@ -87,6 +97,11 @@
         self.received_fences: list[tuple[int, int, int]] = []
         self.executed_requests: list[str] = []
         self.delay = 0.0
+        #: Time until which the server is cold, and the time of its first heartbeat that said so.
+        self.cold_until = 0.0
+        self.said_cold_at: float | None = None
+        #: Times at which requests arrived that the cold server had announced that it can't bear.
+        self.cold_arrivals: list[float] = []
         #: Whether its responses say that it leaves, and the pause that it asks for when refusing.
         self.says_leaving = False
         self.pause = ""
@@ -143,8 +158,16 @@
         self.pauses.clear()
         self.said_leaving_at.clear()
         self.says_leaving = False
+        self.become_cold()
         await self.start()
 
+    def become_cold(self) -> None:
+        """Bear only a few requests per second for a time, if the pool has cold servers."""
+        if self.system.warmup_rate:
+            self.cold_until = time.monotonic() + COLD_SECONDS
+            self.said_cold_at = None
+            self.cold_arrivals.clear()
+
     async def send_heartbeats(self) -> None:
         """Send heartbeats until cancelled."""
         if self.faults is not None:
@@ -163,12 +186,15 @@
             "version": "v1",
             "slots": 3,
             "state": self.state,
-            "slow_start_s_time": 0,
+            "slow_start_s_time": round(max(self.cold_until - time.monotonic(), 0.0), 3),
             "sequence": self.sequence,
             "born": self.incarnation,
         }
         call = f"instances.heartbeat&of={self.identity}"
-        return (await self.system.call_control(call, body))[0] == 200
+        is_confirmed = (await self.system.call_control(call, body))[0] == 200
+        if is_confirmed and body["slow_start_s_time"] and self.said_cold_at is None:
+            self.said_cold_at = time.monotonic()
+        return is_confirmed
 
     async def grant(self, request: web.Request) -> web.Response:
         """Accept a grant unless a call with a higher fence was received for one of its keys."""
@@ -234,6 +260,7 @@
             self.owned and not self.holds(int(headers["Medlarpass-Shard-Key"]))
         ):
             return web.Response(status=421, headers={**echo, "Medlarpass-Not-Executed": "1"})
+        self._check_load(entry)
         follows_copy = self._send_late_copy(request)
         if self._sheds(request, echo["Medlarpass-Attempt-Id"]):
             pause = self._draw_pause(entry, echo["Medlarpass-Attempt-Id"], follows_copy)
@@ -275,6 +302,28 @@
         self.pauses.append(Pause(entry, now, now + seconds, request_id, follows_copy))
         return {"Retry-After": str(seconds)}
 
+    def _check_load(self, entry: str) -> None:
+        """Record a violation if the server must get no request, or not so many."""
+        now = time.monotonic()
+        evacuated_at = self.system.evacuated_at
+        if (
+            evacuated_at is not None
+            and self.zone != "north"
+            and now > evacuated_at + EVACUATION_SECONDS
+        ):
+            self.system.record_forbidden_arrival(
+                entry, self, evacuated_at, "after the evacuation of its failure domain"
+            )
+        if self.said_cold_at is None or now >= self.cold_until:
+            return
+        if now < self.said_cold_at + COLD_NOTICE_SECONDS:
+            return
+        self.cold_arrivals = [at for at in self.cold_arrivals if at > now - 1.0] + [now]
+        if len(self.cold_arrivals) > MAX_COLD_REQUESTS:
+            self.system.record_forbidden_arrival(
+                entry, self, self.said_cold_at, f"as number {len(self.cold_arrivals)} in a second"
+            )
+
     def _check_arrival(self, entry: str, request_id: str) -> None:
         """Record a violation if a request must not arrive now from an entry."""
         now = time.monotonic()
