--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/traffic_planner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/traffic_planner.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.capacity.server_admission import COLD_LIMIT_RATIO
 from medlarpass.dispatch import DomainCapacity
 from medlarpass.dispatch import plan_shares
 from medlarpass.dispatch import rounded_shares
@@ -11,22 +12,18 @@
 from medlarpass_daemon.control.fleet.share_log import ShareLog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Iterable
 
     from medlarpass import Clock
     from medlarpass.dispatch import DomainShares
     from medlarpass.fleet import FleetMember
     from medlarpass.publication import PublishedPool
-    from medlarpass_daemon.control.fleet.capacity_source import CapacitySource
     from medlarpass_daemon.control.fleet.fleet_state import FleetState
     from medlarpass_daemon.observability import Metrics
     from medlarpass_daemon.settings import FleetSettings
 
 #: Time for which a new leader collects reports before it makes decisions.
 REPORTS_WAIT_SECONDS = 2.0
-#: Ratio of its allowed rate that a cold server is planned with; the rest is for requests in flight.
-COLD_RATE_RATIO = 0.75
 
 
 class TrafficPlanner:
@@ -36,10 +33,9 @@
     :param settings: settings of discovery through control
     :param clock: source of time; counts suspended time
     :param metrics: metrics of the process
-    :param capacity: returns the capacity estimate of the current term
     """
 
-    __slots__ = ("capacity", "clock", "exact", "fleet", "log", "metrics", "sent", "settings")
+    __slots__ = ("clock", "exact", "fleet", "log", "metrics", "sent", "settings")
 
     def __init__(
         self,
@@ -47,13 +43,11 @@
         settings: FleetSettings,
         clock: Clock,
         metrics: Metrics,
-        capacity: Callable[[], CapacitySource],
     ) -> None:
         self.fleet = fleet
         self.settings = settings
         self.clock = clock
         self.metrics = metrics
-        self.capacity = capacity
         self.log = ShareLog(clock)
         #: Shares before rounding, by pool.
         self.exact: dict[str, DomainShares] = {}
@@ -127,16 +121,14 @@
         capacity = DomainCapacity(
             member.heartbeat.domain for member in members if member.heartbeat.pool == pool.name
         )
-        # Requests per second that a cold server of the pool may get; None if it is not limited.
-        warmup_rate: float | None = getattr(pool, "warmup_rate", None)
+        max_cold_rate = None if pool.warmup_rate is None else COLD_LIMIT_RATIO * pool.warmup_rate
         for member in self._available(pool.name):
             heartbeat = member.heartbeat
-            is_limited = heartbeat.warmup_seconds > 0 and warmup_rate
             capacity.add(
                 heartbeat.domain,
                 heartbeat.slots,
-                self.capacity().rate_of(heartbeat.identity, heartbeat.slots),
-                COLD_RATE_RATIO * warmup_rate if is_limited and warmup_rate else None,
+                self.fleet.capacity.rate_of(heartbeat.identity, heartbeat.slots),
+                max_cold_rate if member.cold.is_cold else None,
             )
         return capacity
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/domain_router.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/domain_router.py
@@ -114,6 +114,9 @@
         :param targets: servers that may get new requests
         :param tried: identities of servers used by earlier attempts
         """
+        if len(targets) == 1 and self._is_limited_cold(targets[0]):
+            # The attempt belongs to the share of this server, whichever domain it is in.
+            return targets
         preferred = self._preferred(pool, domain, targets).targets
         in_subset = self._accepting(preferred.values(), tried)
         if in_subset:
@@ -134,7 +137,9 @@
 
         :param domain: chosen failure domain
         """
-        if target.domain != domain:
+        if self._is_limited_cold(target):
+            choice = "cold"
+        elif target.domain != domain:
             choice = "fallback"
         elif self.keeps_connections(pool, target):
             choice = "subset"
@@ -196,6 +201,9 @@
         if entries > 0:
             sharing.update(dict.fromkeys(preferred.targets, max(entries, 1.0)))
 
+    def _is_limited_cold(self, target: Target) -> bool:
+        return target.admitted is not None and target.cold_until > self.clock.now()
+
     def _accepting(self, targets: Iterable[Target], tried: Set[str]) -> list[Target]:
         return [target for target in targets if self.selector.accepts_attempt(target, tried)]
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/preferred_servers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/preferred_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import is_
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -31,6 +32,8 @@
     def is_current(self, source: Sequence[Target], entry_count: int) -> bool:
         """Return whether the same servers and number of entries would be used again.
 
-        The list of servers is built anew when any server changes, so that its identity suffices.
+        Servers are objects of their own after each change; lists are also built for an attempt.
         """
-        return self.source is source and self.entry_count == entry_count
+        if self.entry_count != entry_count or len(self.source) != len(source):
+            return False
+        return self.source is source or all(map(is_, self.source, source))
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/entry_reports.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/entry_reports.py
@@ -35,7 +35,7 @@
     :param loads: loads to report
     :param take_response_times: returns the count and total seconds of responses by server since
         the last call
-    :param demands: requests for each pool to report; None to report none
+    :param demands: requests for each pool to report
     """
 
     __slots__ = ("demands", "loads", "publication_age", "take_response_times", "watcher")
@@ -46,13 +46,13 @@
         publication_age: PublicationAge,
         loads: KeyLoads,
         take_response_times: Callable[[], dict[str, tuple[int, float]]],
-        demands: DemandCounter | None = None,
+        demands: DemandCounter,
     ) -> None:
         self.watcher = watcher
         self.publication_age = publication_age
         self.loads = loads
-        self.demands = demands
         self.take_response_times = take_response_times
+        self.demands = demands
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -84,7 +84,6 @@
         return fleet_pb2.EntryReport(
             entry=self.watcher.settings.name,
             loads=self.loads.pop_counts(),
-            demands=self.demands.pop_counts() if self.demands is not None else (),
             times=[
                 fleet_pb2.ServerTime(
                     identity=identity, answers=count, milliseconds=round(seconds * 1000)
@@ -94,6 +93,7 @@
             term=self.watcher.term,
             mark=self.watcher.feed_revision,
             is_prompt=is_prompt,
+            demands=self.demands.pop_counts(),
         )
 
     def _log_overdue(self) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -95,6 +95,10 @@
             settings.fleet.load_adapter().dialect,
         )
         self.callers.context.view_age = self.servers.view_age
+        limited = self.callers.metrics.limited
+        limited.labels("cold").set_function(self.servers.count_cold)
+        limited.labels("overloaded").set_function(self.servers.count_overloaded)
+        self.callers.metrics.least_admitted.set_function(self.servers.least_admitted_share)
         self.watcher = FleetWatcher(
             settings,
             seeds,
@@ -102,14 +106,13 @@
             lambda: self.routing.revision,
             channels,
         )
-        if settings.fleet.domain_routing or settings.fleet.pool_admission:
-            self.callers.context.demands = DemandCounter()
+        demands = self.callers.context.demands = DemandCounter()
         self.reports = EntryReports(
             self.watcher,
             age,
             loads,
             self.callers.context.server_selector.take_latencies,
-            self.callers.context.demands,
+            demands,
         )
         self.traffic = TrafficView(clock)
         if settings.fleet.domain_routing:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_servers.py
@@ -6,6 +6,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.publication import PublishedPool
 from medlarpass.ranges import PoolRanges
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.entry.callers import NoOwnerError
@@ -14,6 +15,7 @@
 from medlarpass_daemon.entry.callers.interfaces import Target
 from medlarpass_daemon.entry.fleet.evacuated_domains import EvacuatedDomains
 from medlarpass_daemon.entry.fleet.events import RANGES_LEARNED
+from medlarpass_daemon.entry.fleet.events import SERVER_COLD
 from medlarpass_daemon.entry.fleet.events import SERVER_DROPPED
 from medlarpass_daemon.entry.fleet.events import SERVER_RETIRED
 from medlarpass_daemon.entry.fleet.events import SERVERS_LEARNED
@@ -51,6 +53,7 @@
     __slots__ = (
         "change_event",
         "clock",
+        "cold_until",
         "evacuations",
         "is_complete",
         "last_update_at",
@@ -77,6 +80,8 @@
         #: Clock reading when this entry learned that a server is leaving, by identity.
         self.retired_at: dict[str, float] = {}
         self.evacuations = EvacuatedDomains(clock)
+        #: Clock reading at which the cold time of a server ends, by identity.
+        self.cold_until: dict[str, float] = {}
         self.ranges: dict[str, PoolRanges] = {}
         #: Servers that may get new requests by pool, built on first use after a change.
         self.targets: dict[str, list[Target]] = {}
@@ -151,6 +156,26 @@
         server = self.servers.get(target.identity)
         return server is None or server.phase != EVACUATED
 
+    def count_cold(self) -> int:
+        """Return the number of servers that are limited because they are cold."""
+        now = self.clock.now()
+        return sum(self._target(server).cold_until > now for server in self.servers.values())
+
+    def count_overloaded(self) -> int:
+        """Return the number of servers that are limited because of overload."""
+        return sum(bool(server.admitted) and not server.cold_ms for server in self.servers.values())
+
+    def least_admitted_share(self) -> float:
+        """Return the least share that is sent to an owner of keys; 1 without a limit."""
+        shares = [
+            server.admitted / 1_000_000
+            for server in self.servers.values()
+            if server.admitted
+            and (pool := self.routing.pools.get(server.pool)) is not None
+            and pool.owned
+        ]
+        return min(shares, default=1.0)
+
     def owner_of(self, pool: Pool, key: str) -> Target:
         """Return the server that holds a key.
 
@@ -215,6 +240,12 @@
             fence,
             server.domain,
             server.weight / 1000 if server.weight else 1.0,
+            (
+                self.cold_until.get(server.identity, 0.0)
+                if isinstance(pool, PublishedPool) and pool.warmup_rate is not None
+                else 0.0
+            ),
+            server.admitted / 1_000_000 if server.admitted else None,
         )
 
     def _apply_server(self, server: fleet_pb2.FleetServer) -> None:
@@ -225,6 +256,7 @@
             if known.life == server.life and known.phase == RETIRED:
                 return
         self.servers[server.identity] = server
+        self._apply_cold_time(server, known)
         if server.phase == RETIRED:
             self.retired_at[server.identity] = self.clock.now()
             SERVER_RETIRED.log(server=server.identity, life=server.life, pool=server.pool)
@@ -233,9 +265,30 @@
         else:
             self.evacuations.record_ready(server.domain)
 
+    def _apply_cold_time(
+        self, server: fleet_pb2.FleetServer, known: fleet_pb2.FleetServer | None
+    ) -> None:
+        """Start or end the cold time of a server.
+
+        The message repeats the time when another field changes; the end stays the same then.
+        """
+        if not server.cold_ms:
+            self.cold_until.pop(server.identity, None)
+            return
+        if (
+            known is not None
+            and (known.life, known.cold_ms) == (server.life, server.cold_ms)
+            and server.identity in self.cold_until
+        ):
+            return
+        seconds = server.cold_ms / 1000
+        self.cold_until[server.identity] = self.clock.now() + seconds
+        SERVER_COLD.log(server=server.identity, pool=server.pool, seconds=seconds)
+
     def _remove(self, gone: Iterable[str]) -> None:
         for identity in list(gone):
             self.retired_at.pop(identity, None)
+            self.cold_until.pop(identity, None)
             if self.servers.pop(identity, None) is not None:
                 SERVER_DROPPED.log(server=identity)
 
--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -260,7 +260,9 @@
     def start_leader(self) -> None:
         """Start a new leader, which only knows the log."""
         self.fleet = FleetState(self.state, self.clock)
-        settings: Any = SimpleNamespace(hold=GRANT_LEASE_SECONDS, heartbeat=0.5, silent_after=3)
+        settings: Any = SimpleNamespace(
+            hold=GRANT_LEASE_SECONDS, heartbeat=0.5, silent_after=3, capacity_planning=False
+        )
         log: Any = self.log
         self.keeper = RangeKeeper(
             log, self.fleet, SimulatedServerCalls(self), settings, 0.6, self.clock
@@ -288,7 +290,7 @@
             server.apply_delayed_grants()
             is_silent = server.is_unreachable or self.clock.now() < server.silent_until
             if heartbeats and server.is_up and not is_silent:
-                self.fleet.directory.record_heartbeat(server.heartbeat())
+                self.receive(server.heartbeat())
         await self.keeper.step()
         for _ in range(20):
             await asyncio.sleep(0)
@@ -299,6 +301,13 @@
         self.waiting.append((self.clock.now() + seconds, event))
         await event.wait()
 
+    def receive(self, heartbeat: ServerHeartbeat) -> None:
+        """Record a heartbeat as the leader does."""
+        self.fleet.directory.record_heartbeat(heartbeat)
+        changed = self.fleet.directory.update_cold(heartbeat)
+        if changed is not None:
+            self.fleet.limits.cold_changed(changed)
+
     async def run(self, seconds: float) -> None:
         """Advance the simulation and check that no key has two owners."""
         for _ in range(round(seconds / STEP_SECONDS)):
--- a/packages/medlarpass-daemon/tests/control/fleet/test_traffic_planner.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_traffic_planner.py
@@ -41,7 +41,12 @@
                 "key_header": "Key",
                 "routes": [],
                 "pools": [
-                    {"name": "images", "owned": False, "connections": 100},
+                    {
+                        "name": "images",
+                        "owned": False,
+                        "connections": 100,
+                        "warmup_rate": 2.0,
+                    },
                     {"name": "stock", "owned": True, "connections": 100},
                 ],
                 "limits": {},
@@ -49,16 +54,22 @@
         )
         state.publication = control_pb2.Publish(version=1, document=publication.to_json())
         self.fleet = FleetState(state, self.clock)
-        self.fleet.start_term(3)
+        self.start_term(3)
         settings: Any = SimpleNamespace(
             domain_routing=domain_routing, heartbeat=0.5, silent_after=3
         )
         self.metrics = Metrics()
-        self.planner = TrafficPlanner(self.fleet, settings, self.clock, self.metrics, KnownCapacity)
+        self.planner = TrafficPlanner(self.fleet, settings, self.clock, self.metrics)
         self.planner.start_term()
         self.sequence = 0
         self.silent_domains: set[str] = set()
 
+    def start_term(self, term: int) -> None:
+        """Start a term with a capacity estimate that knows every server."""
+        self.fleet.start_term(term)
+        capacity: Any = KnownCapacity()
+        self.fleet.capacity = capacity
+
     def run(self, demand: dict[str, float], seconds: float, pool: str = "images") -> None:
         """Advance in report periods with the given requests per second by domain."""
         for _ in range(round(seconds / 0.5)):
@@ -145,11 +156,25 @@
     assert leader.shares == {}
 
 
+def test_cold_servers_count_with_their_limit() -> None:
+    """Guards against requests that stay in a domain whose servers have just returned."""
+    leader = Planner()
+    demand = {"a": 20.0, "b": 20.0, "c": 20.0}
+    leader.run(demand, 4.0)
+    assert leader.shares == {}
+    for member in leader.fleet.directory.members.values():
+        if member.heartbeat.domain == "b":
+            member.cold.update(60.0, leader.clock.now())
+    leader.run(demand, 8.0)
+    # Four servers at 0.75 of two requests a second, used up to 0.8, take 4.8 of 20 requests.
+    assert sum(leader.shares["b"].values()) == pytest.approx(0.76, abs=0.05)
+
+
 def test_a_new_leader_has_no_plan_until_entries_have_reported() -> None:
     """Guards against decisions on the first reports, and on those of an earlier leadership."""
     leader = Planner()
     leader.run({"a": 48.0, "b": 16.0, "c": 16.0}, 8.0)
-    leader.fleet.start_term(4)
+    leader.start_term(4)
     leader.planner.start_term()
     leader.run({"a": 48.0, "b": 16.0, "c": 16.0}, 1.5)
     assert leader.shares == {}
--- a/packages/medlarpass-daemon/tests/entry/fleet/test_domain_router.py
+++ b/packages/medlarpass-daemon/tests/entry/fleet/test_domain_router.py
@@ -219,3 +219,20 @@
         if target.domain == "a" and not entry.router.keeps_connections(POOL, target)
     )
     assert entry.selector._limiter_for(outside).min_limit == pytest.approx(3 * 2 / ENTRY_COUNT)
+
+
+async def test_the_share_of_a_cold_server_is_sent_to_it_in_any_domain() -> None:
+    """Guards against a cold server that warms up only with requests of its own domain.
+
+    The other servers stay preferred as before.
+    """
+    entry = RoutedEntry()
+    entry.set_plan()
+    used = set(await entry.send(100))
+    warm = entry.targets
+    cold = Target("c0", 1, "10.0.0.1", 80, 3, 100, domain="c", cold_until=2000.0, admitted=0.01)
+    entry.targets = [cold]
+    assert await entry.send(2) == {"c0": 2}
+    assert entry.attempts("c", "cold") == 2
+    entry.targets = list(warm)
+    assert set(await entry.send(100)) == used
--- a/packages/medlarpass/src/medlarpass/ranges/__init__.py
+++ b/packages/medlarpass/src/medlarpass/ranges/__init__.py
@@ -19,6 +19,7 @@
 from medlarpass.ranges.range_planner import RangePlanner
 from medlarpass.ranges.range_planner import apply_moves
 from medlarpass.ranges.range_planner import plan_rebalancing
+from medlarpass.ranges.range_planner import server_loads
 from medlarpass.ranges.range_table import RangeTable
 from medlarpass.ranges.server_speeds import ServerSpeeds
 
@@ -42,4 +43,5 @@
     "plan_evacuation",
     "plan_rebalancing",
     "select_moves",
+    "server_loads",
 ]
