Bound the moves of an evacuation over all pools together

Cause: each pool could start 16 moves in a step, so that a domain with many pools started up to 64 at once.

Change: one allowance for each step of the leader.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/evacuation_moves.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/evacuation_moves.py
@@ -32,7 +32,7 @@
     :param clock: source of time; counts suspended time
     """
 
-    __slots__ = ("blocked_pools", "clock", "fleet", "grants", "moves", "started_at")
+    __slots__ = ("allowance", "blocked_pools", "clock", "fleet", "grants", "moves", "started_at")
 
     def __init__(
         self, fleet: FleetState, grants: RangeGrants, moves: RangeMoves, clock: Clock
@@ -41,6 +41,8 @@
         self.grants = grants
         self.moves = moves
         self.clock = clock
+        #: Moves that may still start in this step, in all pools together.
+        self.allowance = 0
         #: Clock reading at which evacuated servers of a pool were first seen with keys.
         self.started_at: dict[str, float] = {}
         #: Pools whose keys can't move, each logged once.
@@ -51,6 +53,10 @@
         self.started_at.clear()
         self.blocked_pools.clear()
 
+    def begin_step(self) -> None:
+        """Begin a step in which all pools are checked once."""
+        self.allowance = move_allowance(len(self.moves.tasks))
+
     def start(
         self, pool: str, assigned: list[RangeAssignment], servers: list[PlannerServer]
     ) -> None:
@@ -63,8 +69,7 @@
             return
         evacuated = [assignment for assignment in assigned if self._is_evacuated(assignment)]
         self._log_progress(pool, evacuated, bool(servers))
-        allowance = move_allowance(len(self.moves.tasks))
-        if not evacuated or not servers or not allowance:
+        if not evacuated or not servers or not self.allowance:
             return
         free = [
             (part.first, part.last)
@@ -79,7 +84,8 @@
         loads = self.fleet.loads_of(pool).steady
         planned = plan_evacuation(pool, loads, free, after_moves, servers)
         moves = [(_owner(assigned, target.first), target) for target in planned]
-        for target in select_moves(moves, self._running(pool, assigned), allowance):
+        for target in select_moves(moves, self._running(pool, assigned), self.allowance):
+            self.allowance -= 1
             self.moves.start(assigned, target)
 
     def _running(self, pool: str, assigned: list[RangeAssignment]) -> Counter[str]:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -130,6 +130,7 @@
         self.is_balance_due = now - self.balanced_at >= BALANCE_PERIOD_SECONDS
         if self.is_balance_due:
             self.balanced_at = now
+        self.evacuations.begin_step()
         for pool in self.fleet.owned_pools():
             await self._reconcile_pool(pool)
         self.grants.renew()
