Use the load that servers report in their responses

Cause: entries learn of a queue or a slow period of a server only by waiting for its responses, and send to such servers while others are idle.

Change: the dialect passes on the load in a response. An entry keeps the latest report of each incarnation for half a second and avoids servers with waiting requests or slow work while there are others. Reports that contradict what the entry saw are ignored; malformed ones are counted. Reports to control say how many responses came from an empty queue.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -103,6 +103,7 @@
         exchange = _build_exchange(context, request, permit.target, pool)
         response = await context.client.send(exchange)
         permit.headers_received()
+        permit.load = exchange.load
         body_start = await response.prefetch(prefetch)
         if not may_forward_response(request, context, permit.target):
             response.close()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/dialect.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/dialect.py
@@ -84,6 +84,14 @@
         """Return for how many seconds the server wants no requests, as it wrote them."""
         ...
 
+    def load_of(self, received: CIMultiDictProxy[str]) -> str | None:
+        """Return the load that a response reports, as the server wrote it; None without one.
+
+        It consists of running and waiting requests, slots and optionally the percentage of the
+        usual time that work takes now, separated by commas.
+        """
+        ...
+
     def check_response(self, status: int, received: CIMultiDictProxy[str], request_id: str) -> None:
         """Check that the headers belong to a server's response to a request.
 
@@ -161,6 +169,10 @@
         """See :class:`Dialect`."""
         return received.get(headers.NOT_BEFORE) if status == SERVICE_UNAVAILABLE_STATUS else None
 
+    def load_of(self, received: CIMultiDictProxy[str]) -> str | None:
+        """See :class:`Dialect`."""
+        return None
+
     def check_response(self, status: int, received: CIMultiDictProxy[str], request_id: str) -> None:
         """See :class:`Dialect`."""
         echoed = received.get(headers.REQUEST_ID)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/events.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/events.py
@@ -1,4 +1,4 @@
-"""Log events of the request path, numbers 4100 to 4199."""
+"""Log events of the request path, numbers 4100 to 4199 and from 5135."""
 
 from __future__ import annotations
 
@@ -12,4 +12,5 @@
 SERVER_LEAVING = Event(4104, "server_leaving")
 SERVER_PAUSED = Event(4105, "server_paused")
 INVALID_PAUSE = Event(4106, "server_pause_invalid")
+INVALID_LOAD = Event(5135, "server_load_invalid")
 ANSWER_ABORTED = Event(4102, "answer_aborted")
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exchange.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exchange.py
@@ -13,6 +13,7 @@
     from multidict import CIMultiDict
 
     from medlarpass import Clock
+    from medlarpass.dispatch import ServerLoadReport
     from medlarpass_daemon.entry.callers.connector import ServerProtocol
     from medlarpass_daemon.entry.callers.dialect import Dialect
     from medlarpass_daemon.entry.callers.interfaces import Target
@@ -42,6 +43,7 @@
         "has_connection",
         "headers",
         "is_unsent",
+        "load",
         "method",
         "path",
         "protocol",
@@ -79,6 +81,8 @@
         self.is_unsent = False
         #: Connection on which the request was sent.
         self.protocol: ServerProtocol | None = None
+        #: Load that the server reported in its response.
+        self.load: ServerLoadReport | None = None
 
     @property
     def remaining(self) -> float:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
@@ -26,9 +26,11 @@
 
     __slots__ = (
         "in_flight",
+        "invalid_loads",
         "labelled",
         "latency",
         "not_accepting",
+        "pool_refusals",
         "queued",
         "refusals",
         "requests",
@@ -65,6 +67,17 @@
             ("reason",),
             registry=registry,
         )
+        self.invalid_loads = Counter(
+            "medlarpass_invalid_server_loads",
+            "Responses of servers with a load report that is malformed or out of range",
+            registry=registry,
+        )
+        self.pool_refusals = Counter(
+            "medlarpass_pool_refusals",
+            "Requests refused because their pool is asked for more than it can serve",
+            ("pool", "reason"),
+            registry=registry,
+        )
         self.latency = Histogram(
             "medlarpass_request_seconds",
             "Time from the arrival of a request to the end of its answer",
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
@@ -6,6 +6,7 @@
 
 from medlarpass_daemon.entry.callers.admission import Admission
 from medlarpass_daemon.entry.callers.claim_recorder import ClaimRecorder
+from medlarpass_daemon.entry.callers.load_recorder import LoadRecorder
 from medlarpass_daemon.entry.callers.owner_watch import OwnerWatch
 from medlarpass_daemon.entry.callers.server_client import ServerClient
 from medlarpass_daemon.entry.callers.server_notices import ServerNotices
@@ -97,7 +98,8 @@
         self.server_selector = ServerSelector(
             peer_loads, clock, settings.place_wait, self.notices, settings.owner_wait
         )
-        self.client = ServerClient(settings, self.notices)
+        load_recorder = LoadRecorder(self.server_selector.reported_loads, metrics.invalid_loads.inc)
+        self.client = ServerClient(settings, self.notices, load_recorder)
         self.claim_recorder = ClaimRecorder(claims)
         self.owner_watch = OwnerWatch()
         #: Counts requests until the next report to control; None if nothing is reported.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
@@ -29,6 +29,7 @@
 
     from medlarpass_daemon.entry.callers.exchange import Exchange
     from medlarpass_daemon.entry.callers.interfaces import Target
+    from medlarpass_daemon.entry.callers.load_recorder import LoadRecorder
     from medlarpass_daemon.entry.callers.server_notices import ServerNotices
     from medlarpass_daemon.settings import EntrySettings
 
@@ -45,20 +46,28 @@
 
     :param settings: settings of the entry
     :param notices: what the servers have said in their responses
+    :param load_recorder: records the loads that servers report; None to ignore them
     """
 
     __slots__ = (
         "closing_tasks",
         "connection_budget",
         "connectors",
+        "load_recorder",
         "notices",
         "settings",
         "timeout",
     )
 
-    def __init__(self, settings: EntrySettings, notices: ServerNotices) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        notices: ServerNotices,
+        load_recorder: LoadRecorder | None = None,
+    ) -> None:
         self.settings = settings
         self.notices = notices
+        self.load_recorder = load_recorder
         self.connection_budget = ConnectionBudget(max(len(settings.peers), 1))
         self.connectors: dict[str, tuple[Address, NoResendConnector]] = {}
         self.timeout = ClientTimeout(total=None, sock_connect=settings.connect_timeout)
@@ -169,6 +178,8 @@
             dialect.is_leaving(received),
             dialect.pause_of(response.status, received),
         )
+        if self.load_recorder is not None:
+            exchange.load = self.load_recorder.record(exchange.target, dialect.load_of(received))
 
     def forget(self, identity: str) -> None:
         """Close the idle connections to a server that left.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_permit.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_permit.py
@@ -15,6 +15,7 @@
 
     from medlarpass import MedlarpassError
     from medlarpass.dispatch import ConcurrencyLimiter
+    from medlarpass.dispatch import ServerLoadReport
     from medlarpass_daemon.entry.callers.interfaces import Target
     from medlarpass_daemon.entry.callers.server_selector import ServerSelector
 
@@ -31,7 +32,16 @@
     :param candidates: identities of all servers that could have been chosen
     """
 
-    __slots__ = ("attempt", "candidates", "is_open", "latency", "limiter", "selector", "target")
+    __slots__ = (
+        "attempt",
+        "candidates",
+        "is_open",
+        "latency",
+        "limiter",
+        "load",
+        "selector",
+        "target",
+    )
 
     def __init__(
         self,
@@ -48,6 +58,8 @@
         selector.loop_lag.attempt_started()
         #: Seconds until the response headers arrived, less the lag of this process's event loop.
         self.latency: float | None = None
+        #: Load that the server reported in its response.
+        self.load: ServerLoadReport | None = None
         self.is_open = True
 
     def headers_received(self) -> None:
@@ -66,7 +78,7 @@
             self.headers_received()
         assert self.latency is not None
         self.limiter.finished(self.latency)
-        self.selector.record_latency(self.target.identity, self.latency)
+        self._record_load(self.load, self.latency)
         self.selector.balancer.finished(self.attempt)
         self._record(Outcome.RUN, status)
 
@@ -103,6 +115,7 @@
         if not self._close():
             return
         self.limiter.refused()
+        self.selector.reported_loads.record_refusal(self.target.identity, self.target.incarnation)
         self.selector.balancer.refused(self.attempt)
         self._record(Outcome.NOT_RUN, error.http_status)
 
@@ -116,6 +129,16 @@
             self.selector.record_latency(self.target.identity, self._elapsed())
         self._record(error.outcome, None)
 
+    def _record_load(self, load: ServerLoadReport | None, latency: float) -> None:
+        identity, incarnation = self.target.identity, self.target.incarnation
+        loads = self.selector.reported_loads
+        if load is not None:
+            usual = self.selector.usual_latency(self.candidates) if load.is_busy else None
+            loads.record_response(identity, incarnation, load, latency, usual)
+        self.selector.record_latency(
+            identity, latency, loads.is_unqueued(identity, incarnation, load)
+        )
+
     def _record(self, outcome: Outcome, status: int | None) -> None:
         identity = self.target.identity
         result = AttemptOutcome(outcome, self._elapsed(), status)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
@@ -6,6 +6,7 @@
 import math
 import random
 
+from statistics import median_low
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -17,6 +18,7 @@
 from medlarpass.dispatch import EjectorSettings
 from medlarpass.dispatch import LimiterSettings
 from medlarpass.dispatch import NoServerError
+from medlarpass.dispatch import ReportedLoads
 from medlarpass.dispatch import SharedServerLimiter
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
@@ -34,7 +36,7 @@
     from collections.abc import Set
 
     from medlarpass import Clock
-    from medlarpass.dispatch import PeerLoads as ReportedLoads
+    from medlarpass.dispatch import PeerLoads as PeerReports
     from medlarpass_daemon.entry.callers.interfaces import PeerLoads
     from medlarpass_daemon.entry.callers.interfaces import Target
 
@@ -104,6 +106,7 @@
         "max_wait",
         "notices",
         "paused_until",
+        "reported_loads",
         "waiting",
     )
 
@@ -121,13 +124,15 @@
         self.max_pause_wait = max_pause_wait
         self.balancer = Balancer(BalancerSettings(), clock, random.Random())
         # The balancer only calls in_flight().
-        self.balancer.peers = cast("ReportedLoads", peer_loads)
+        self.balancer.peers = cast("PeerReports", peer_loads)
         self.ejector = Ejector(EjectorSettings(), clock)
+        self.reported_loads = ReportedLoads(clock)
         self.loop_lag = LoopLag(clock)
         #: Number of entries that send to the servers, 0 while unknown.
         self.entry_count = 0
-        #: Response count and sum of latencies in seconds since the last report, by identity.
-        self.latency_totals: dict[str, tuple[int, float]] = {}
+        #: Response count and sum of latencies in seconds since the last report, by identity; then
+        #: both for the responses of servers that reported an empty queue.
+        self.latency_totals: dict[str, tuple[int, float, int, float]] = {}
         #: Clock reading until which a server receives no requests, by identity.
         self.paused_until: dict[str, float] = {}
         #: Backoff of the servers that could not be reached, by identity.
@@ -243,16 +248,35 @@
         self.paused_until.pop(identity, None)
         self.connection_backoffs.pop(identity, None)
 
-    def record_latency(self, identity: str, seconds: float) -> None:
-        """Add the latency of a response to the next report."""
-        count, total = self.latency_totals.get(identity, (0, 0.0))
-        self.latency_totals[identity] = (count + 1, total + seconds)
+    def record_latency(self, identity: str, seconds: float, is_unqueued: bool = False) -> None:
+        """Add the latency of a response to the next report.
 
-    def take_latencies(self) -> dict[str, tuple[int, float]]:
-        """Return response counts and sums of latencies by identity since the last call."""
+        :param is_unqueued: whether the server reported that no request waits there
+        """
+        count, total, unqueued_count, unqueued_total = self.latency_totals.get(
+            identity, (0, 0.0, 0, 0.0)
+        )
+        self.latency_totals[identity] = (
+            count + 1,
+            total + seconds,
+            unqueued_count + is_unqueued,
+            unqueued_total + (seconds if is_unqueued else 0.0),
+        )
+
+    def take_latencies(self) -> dict[str, tuple[int, float, int, float]]:
+        """Return response counts and sums of latencies by identity since the last call.
+
+        The last two figures only include responses of servers that reported an empty queue.
+        """
         totals, self.latency_totals = self.latency_totals, {}
         return totals
 
+    def usual_latency(self, identities: Set[str]) -> float | None:
+        """Return the median of the mean latencies of servers in seconds, None while unknown."""
+        loads = (self.balancer.loads.get(identity) for identity in identities)
+        latencies = [load.latency for load in loads if load is not None and load.latency]
+        return median_low(latencies) if latencies else None
+
     def is_unresponsive(self, identity: str) -> bool:
         """Return whether a request to a server would most likely wait until its deadline.
 
@@ -329,6 +353,7 @@
         self.connection_backoffs.pop(identity, None)
         self.last_response_at.pop(identity, None)
         self.ejector.forget(identity)
+        self.reported_loads.forget(identity)
         limiter = self.limiters.get(identity)
         if limiter is not None and not limiter.in_flight:
             del self.limiters[identity]
@@ -384,12 +409,26 @@
             )
             for target in free
         ]
+        candidates = self._prefer_by_report(candidates, free)
         try:
             chosen = self.balancer.choose(candidates)
         except NoServerError:
             return None
         return next(target for target in free if target.identity == chosen.identity)
 
+    def _prefer_by_report(
+        self, candidates: list[Candidate], free: Sequence[Target]
+    ) -> list[Candidate]:
+        """Return the usable servers that report no high load, or the better ones of those that do.
+
+        Ejected servers are no alternative to a loaded one.
+        """
+        usable = {candidate.identity for candidate in candidates if candidate.weight > 0}
+        preferred = self.reported_loads.preferred(
+            {target.identity: target.incarnation for target in free if target.identity in usable}
+        )
+        return [candidate for candidate in candidates if candidate.identity in preferred]
+
     def _has_capacity(self, target: Target) -> bool:
         # A limit below 1 paces requests over time; compared with a count it would admit none.
         return self._limiter_for(target).ready_in() == 0.0
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/entry_reports.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/entry_reports.py
@@ -34,7 +34,7 @@
     :param publication_age: records the newest confirmed version
     :param loads: loads to report
     :param take_response_times: returns the count and total seconds of responses by server since
-        the last call
+        the last call, then both for the responses of servers that reported an empty queue
     :param demands: requests for each pool to report; None to report none
     """
 
@@ -45,7 +45,7 @@
         watcher: FleetWatcher,
         publication_age: PublicationAge,
         loads: KeyLoads,
-        take_response_times: Callable[[], dict[str, tuple[int, float]]],
+        take_response_times: Callable[[], dict[str, tuple[int, float, int, float]]],
         demands: DemandCounter | None = None,
     ) -> None:
         self.watcher = watcher
@@ -87,9 +87,18 @@
             demands=self.demands.pop_counts() if self.demands is not None else (),
             times=[
                 fleet_pb2.ServerTime(
-                    identity=identity, answers=count, milliseconds=round(seconds * 1000)
+                    identity=identity,
+                    answers=count,
+                    milliseconds=round(seconds * 1000),
+                    unqueued_answers=unqueued_count,
+                    unqueued_milliseconds=round(unqueued_seconds * 1000),
                 )
-                for identity, (count, seconds) in self.take_response_times().items()
+                for identity, (
+                    count,
+                    seconds,
+                    unqueued_count,
+                    unqueued_seconds,
+                ) in self.take_response_times().items()
             ],
             term=self.watcher.term,
             mark=self.watcher.feed_revision,
--- a/packages/medlarpass/src/medlarpass/dispatch/__init__.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/__init__.py
@@ -33,6 +33,7 @@
 from medlarpass.dispatch.pause_monitor import PauseMonitor
 from medlarpass.dispatch.peer_loads import PeerLoads
 from medlarpass.dispatch.pool_demands import PoolDemands
+from medlarpass.dispatch.reported_load import ReportedLoads
 from medlarpass.dispatch.request_kinds import Download
 from medlarpass.dispatch.request_kinds import Enquiry
 from medlarpass.dispatch.request_kinds import Order
@@ -44,6 +45,7 @@
 from medlarpass.dispatch.retry_policy import RetryDecision
 from medlarpass.dispatch.retry_policy import RetryPolicy
 from medlarpass.dispatch.server_load import ServerLoad
+from medlarpass.dispatch.server_load_report import ServerLoadReport
 from medlarpass.dispatch.server_weights import ServerWeights
 from medlarpass.dispatch.settings import BalancerSettings
 from medlarpass.dispatch.settings import DetectorSettings
@@ -98,6 +100,7 @@
     "RandomBalancer",
     "RequestClass",
     "RequestKind",
+    "ReportedLoads",
     "ResponseTimes",
     "RetryBudget",
     "RetryBudgetSettings",
@@ -107,6 +110,7 @@
     "RoundRobinBalancer",
     "RouteShare",
     "ServerLoad",
+    "ServerLoadReport",
     "ServerWeights",
     "SharedServerLimiter",
     "SketchSettings",
--- a/tests/platform_adapter/test_platform_dialect.py
+++ b/tests/platform_adapter/test_platform_dialect.py
@@ -138,3 +138,11 @@
     assert DIALECT.pause_of(503, response_headers({"Retry-After": "1.5"})) == "1.5"
     assert DIALECT.pause_of(503, response_headers(SIGNED)) is None
     assert DIALECT.pause_of(200, response_headers({"Retry-After": "1.5"})) is None
+
+
+def test_the_load_of_a_server_is_passed_on_as_written() -> None:
+    """Guards against a dialect that decides which load reports are valid."""
+    assert DIALECT.load_of(response_headers(SIGNED)) is None
+    assert DIALECT.load_of(response_headers({names.SERVER_LOAD: "2,0,3,140"})) == "2,0,3,140"
+    twice = CIMultiDict([(names.SERVER_LOAD, "full"), (names.SERVER_LOAD, "2,0,3")])
+    assert DIALECT.load_of(CIMultiDictProxy(twice)) == "full,2,0,3"
