Refuse requests beyond the share of an overloaded pool

Cause: no place decides which requests an overloaded pool serves, and a request that a full owner refuses is sent there again at once or refused with a time of return that does not depend on the queue.

Change: with fleet.pool_admission the leader fills the admissions of the traffic plan each half second. Entries refuse requests beyond the share before they take a place in a queue, and repetitions that come earlier than told. Requests to an owner that refuses wait for their turn within the target latency, or are refused at once. Without a capacity estimate nothing is limited; the estimate is passed to the planner by another part.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -15,6 +15,7 @@
 from medlarpass.replication import NotLeaderError
 from medlarpass_daemon.control.fleet import events
 from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
+from medlarpass_daemon.control.fleet.pool_admission_planner import PoolAdmissionPlanner
 from medlarpass_daemon.control.fleet.range_grants import RangeGrants
 from medlarpass_daemon.control.fleet.range_moves import RangeMoves
 from medlarpass_daemon.supervision import supervise
@@ -60,6 +61,7 @@
     """
 
     __slots__ = (
+        "admission",
         "balanced_at",
         "clock",
         "fleet",
@@ -90,6 +92,7 @@
         fleet.lease = self.lease
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
+        self.admission = PoolAdmissionPlanner(fleet, settings)
         self.leading_since = 0.0
         #: Highest number of servers seen in a pool without owners, and when it was reached.
         self.join_progress: dict[str, tuple[int, float]] = {}
@@ -159,6 +162,8 @@
             self.fleet.speeds.apply_decay()
             self.fleet.demands.apply_decay()
             self.fleet.update_weights()
+            if self.settings.pool_admission:
+                self.admission.apply()
 
     async def _reconcile_pool(self, pool: str) -> None:
         assigned = self.fleet.state.ranges.pools.get(pool, [])
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/attempts.py
@@ -65,6 +65,7 @@
             will_retry = await _may_retry(context, request, state, error, request.attempts)
             _log_failure(context, request, error, will_retry)
             if not will_retry:
+                _raise_if_owner_busy(context, request, error)
                 raise
         context.metrics.retries.labels(request.route.name).inc()
 
@@ -104,12 +105,17 @@
         response = await context.client.send(exchange)
         permit.headers_received()
         permit.load = exchange.load
+        if context.owner_queue is not None:
+            context.owner_queue.turns.record_response(permit.target)
         body_start = await response.prefetch(prefetch)
         if not may_forward_response(request, context, permit.target):
             response.close()
             raise OwnerChangedError("the key moved before the response arrived")
     except MedlarpassError as error:
         permit.failed(error)
+        queue = context.owner_queue
+        if queue is not None and queue.is_load_refusal(request, error):
+            queue.record_refusal(permit.target)
         raise
     except asyncio.CancelledError:
         permit.cancelled()
@@ -161,6 +167,8 @@
         )
     key = request.owned_key
     owner = await _wait_for_owner(context, request, key)
+    if context.owner_queue is not None:
+        await context.owner_queue.wait_for_turn(request, owner)
 
     def owner_only() -> tuple[Target]:
         refresh_route(context, request)
@@ -267,7 +275,12 @@
         return request.remaining > 0
     if not isinstance(error, ServerUnreachableError | ServerRefusedError | AnswerLostError):
         return False
-    if request.owned_key is not None and _is_owner_busy(context, request, error):
+    queue = context.owner_queue
+    if queue is not None and queue.is_load_refusal(request, error):
+        # The request is sent again only in its turn, see _acquire_permit.
+        if request.target is None or not queue.can_wait(request, request.target):
+            return False
+    elif request.owned_key is not None and _is_owner_busy(context, request, error):
         # No other server can run the request, and the owner would refuse it again.
         return False
     if _is_rerouting(error):
@@ -277,6 +290,18 @@
     return decision is RetryDecision.RETRY
 
 
+def _raise_if_owner_busy(
+    context: RequestContext, request: CallerRequest, error: MedlarpassError
+) -> None:
+    """Raise the error with the time at which the owner is expected to accept a request.
+
+    :raises OwnerBusyError: the owner refused the request because of its load
+    """
+    queue = context.owner_queue
+    if queue is not None and queue.is_load_refusal(request, error) and request.target is not None:
+        raise queue.busy_error(request.target) from error
+
+
 def _is_owner_busy(context: RequestContext, request: CallerRequest, error: MedlarpassError) -> bool:
     if isinstance(error, ServerUnreachableError):
         return True
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_request.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_request.py
@@ -47,6 +47,7 @@
         "request_id",
         "revision",
         "route",
+        "started_at",
         "target",
         "web",
     )
@@ -76,6 +77,8 @@
         self.body = body
         self.clock = clock
         self.revision = revision
+        #: Clock reading at the arrival of the request.
+        self.started_at = clock.now()
         #: Number of attempts started so far, and the server of the latest one.
         self.attempts = 0
         self.target: Target | None = None
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -230,6 +230,7 @@
         try:
             request = read_request(web_request, request_id, self.context)
             self.context.count_demand(request)
+            self.context.check_admitted(request)
             response = await handle(request, self.context)
             if not request.is_truncated:
                 outcome = Outcome.RUN
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -91,6 +91,33 @@
     retry_after = 0.1
 
 
+class OwnerBusyError(ServersBusyError):
+    """The owner of the key refuses requests, and the wait for a turn would exceed the target.
+
+    :param retry_after: seconds after which the requests that wait now are expected to be done
+    """
+
+    code = "owner_busy"
+
+    def __init__(self, message: str, retry_after: float) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
+
+
+class PoolOverloadedError(CallerError):
+    """The pool is asked for more than it can serve, and this request is beyond the admitted share.
+
+    :param retry_after: seconds after which the caller should come back
+    """
+
+    code = "pool_overloaded"
+    http_status = 503
+
+    def __init__(self, message: str, retry_after: float) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
+
+
 class EntryStoppingError(CallerError):
     """The request was still queued when this entry had to end; another entry can run it."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
@@ -29,6 +29,8 @@
     from medlarpass_daemon.entry.callers.interfaces import RoutingTable
     from medlarpass_daemon.entry.callers.interfaces import ServerDirectory
     from medlarpass_daemon.entry.callers.metrics import CallersMetrics
+    from medlarpass_daemon.entry.callers.owner_queue import OwnerQueue
+    from medlarpass_daemon.entry.callers.pool_gate import PoolGate
     from medlarpass_daemon.settings import EntrySettings
 
 
@@ -61,8 +63,10 @@
         "metrics",
         "notices",
         "order_tasks",
+        "owner_queue",
         "owner_watch",
         "owners",
+        "pool_gate",
         "routing",
         "server_selector",
         "servers",
@@ -104,6 +108,10 @@
         self.owner_watch = OwnerWatch()
         #: Counts requests until the next report to control; None if nothing is reported.
         self.demands: DemandCounter | None = None
+        #: Limits the requests for overloaded pools; None if control does not limit any.
+        self.pool_gate: PoolGate | None = None
+        #: Turns at owners that refuse requests; None if refusals are only retried.
+        self.owner_queue: OwnerQueue | None = None
         #: Tasks of the orders in flight, which may outlive the connections of their callers.
         self.order_tasks: set[asyncio.Task[object]] = set()
         self.is_draining = False
@@ -112,9 +120,17 @@
 
     def count_demand(self, request: CallerRequest) -> None:
         """Count a request of a caller for the next report to control."""
-        if self.demands is not None:
+        if self.demands is not None and not (self.pool_gate and self.pool_gate.is_early(request)):
             self.demands.count(request.pool.name, self.domain, request.route.priority)
 
+    def check_admitted(self, request: CallerRequest) -> None:
+        """Check that the pool of a request admits it.
+
+        :raises PoolOverloadedError: the request is beyond what the pool can serve
+        """
+        if self.pool_gate is not None:
+            self.pool_gate.check(request)
+
     def retain(self, servers: Set[str], routes: Set[str]) -> None:
         """Drop the state of servers that left and of routes that were deleted.
 
@@ -128,5 +144,7 @@
             self.client.forget(identity)
         for identity in self.server_selector.known_identities() - servers:
             self.server_selector.forget(identity)
+            if self.owner_queue is not None:
+                self.owner_queue.turns.forget(identity)
         for identity in self.notices.by_identity.keys() - servers:
             self.notices.forget(identity)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 from medlarpass_daemon.entry.callers.exceptions import NoOwnerError
+from medlarpass_daemon.entry.callers.exceptions import OwnerBusyError
+from medlarpass_daemon.entry.callers.exceptions import PoolOverloadedError
 from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
 from medlarpass_daemon.entry.callers.exceptions import ServersPausedError
@@ -21,6 +23,11 @@
 #: from retrying together.
 MIN_TARGET_RATIO = 0.25
 MAX_TARGET_RATIO = 0.5
+#: Upper bound of the time of return in relation to that of the plan of control. Callers that all
+#: entries refused under the same plan would otherwise come back together.
+MAX_PLAN_RATIO = 2.0
+#: The same for the owner of a key, whose queue becomes shorter within a second.
+MAX_TURN_RATIO = 1.5
 
 
 @singledispatch
@@ -49,3 +56,14 @@
 def _(error: ServersPausedError, target: float) -> float:
     # The spread keeps callers that were refused in the same pause from returning together.
     return error.retry_after + target * random.uniform(0.0, MIN_TARGET_RATIO)
+
+
+@retry_after_seconds.register(PoolOverloadedError)
+def _(error: PoolOverloadedError, target: float) -> float:
+    return error.retry_after * random.uniform(1.0, MAX_PLAN_RATIO)
+
+
+@retry_after_seconds.register(OwnerBusyError)
+def _(error: OwnerBusyError, target: float) -> float:
+    seconds = max(error.retry_after, MIN_TARGET_RATIO * target)
+    return seconds * random.uniform(1.0, MAX_TURN_RATIO)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
@@ -271,6 +271,11 @@
         totals, self.latency_totals = self.latency_totals, {}
         return totals
 
+    def mean_latency(self, identity: str) -> float | None:
+        """Return the mean response time of a server in seconds, None while unknown."""
+        limiter = self.limiters.get(identity)
+        return limiter.mean_latency if limiter is not None else None
+
     def usual_latency(self, identities: Set[str]) -> float | None:
         """Return the median of the mean latencies of servers in seconds, None while unknown."""
         loads = (self.balancer.loads.get(identity) for identity in identities)
@@ -423,6 +428,8 @@
 
         Ejected servers are no alternative to a loaded one.
         """
+        if not self.reported_loads.by_identity:
+            return candidates
         usable = {candidate.identity for candidate in candidates if candidate.weight > 0}
         preferred = self.reported_loads.preferred(
             {target.identity: target.incarnation for target in free if target.identity in usable}
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -10,6 +10,9 @@
 from medlarpass.ranges import KeyLoads
 from medlarpass_daemon.entry.callers import CallersServer
 from medlarpass_daemon.entry.callers.metrics import CallersMetrics
+from medlarpass_daemon.entry.callers.owner_queue import OwnerQueue
+from medlarpass_daemon.entry.callers.owner_turns import OwnerTurns
+from medlarpass_daemon.entry.callers.pool_gate import PoolGate
 from medlarpass_daemon.entry.fleet.entry_reports import EntryReports
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
 from medlarpass_daemon.entry.fleet.fleet_servers import FleetServers
@@ -111,6 +114,10 @@
             self.callers.context.demands,
         )
         self.traffic = TrafficView(clock)
+        if settings.fleet.pool_admission:
+            context = self.callers.context
+            context.pool_gate = PoolGate(self.traffic, clock, context.metrics, context.dialect)
+            context.owner_queue = OwnerQueue(OwnerTurns(clock), context.server_selector)
         self.tasks: list[asyncio.Task[None]] = []
 
     def add_services(self, server: grpc.aio.Server) -> None:
--- a/packages/medlarpass/src/medlarpass/capacity/pool_admission.py
+++ b/packages/medlarpass/src/medlarpass/capacity/pool_admission.py
@@ -141,7 +141,7 @@
         correction = max(longest_wait / QUEUE_RATIO, MIN_CORRECTION_SECONDS)
         ratio = 1.0 + (SETPOINT_RATIO * longest_wait - wait) / correction
         admitted = capacity * min(max(ratio, MIN_ADMITTED_RATIO), MAX_ADMITTED_RATIO)
-        shares = self._shares(total if total <= capacity else admitted, total)
+        shares = self._shares(total if total <= capacity else admitted, total, capacity)
         retry_after = wait * total / capacity
         self.limits = {
             priority: PriorityLimit(
@@ -166,11 +166,12 @@
             default=0.0,
         )
 
-    def _shares(self, admitted: float, total: float) -> dict[int, float]:
+    def _shares(self, admitted: float, total: float, capacity: float) -> dict[int, float]:
         """Return the share of each priority, the highest first after the floors of all."""
         if admitted >= total:
             return dict.fromkeys(self.demands, 1.0)
-        floor = FLOOR_RATIO * admitted / total
+        # Without priorities, each would get the same part of its demand.
+        floor = FLOOR_RATIO * capacity / total
         remaining = admitted - floor * total
         shares = {}
         for priority in sorted(self.demands):
--- a/packages/medlarpass/src/medlarpass/dispatch/reported_load.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/reported_load.py
@@ -109,8 +109,6 @@
 
         :param servers: incarnations by identity
         """
-        if not self.by_identity:
-            return set(servers)
         reports = {
             identity: self.current(identity, incarnation)
             for identity, incarnation in servers.items()
