--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/pool_admission_planner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/pool_admission_planner.py
@@ -112,7 +112,7 @@
             return None
         oldest = self.fleet.clock.now() - self.settings.silent_after * self.settings.heartbeat
         known_rate, known_slots, slots = 0.0, 0, 0
-        for member in self.fleet.directory.assignable(pool):
+        for member in self.fleet.assignable(pool):
             if member.seen_at < oldest or self.fleet.directory.is_replaced(member):
                 continue
             heartbeat = member.heartbeat
