--- a/packages/medlarpass-daemon/tests/control/fleet/test_pool_admission_planner.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_pool_admission_planner.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import asyncio
+
+from functools import partial
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 from typing import Any
@@ -18,6 +21,7 @@
 from medlarpass.publication import Publication
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import fleet_pb2
+from medlarpass_daemon.control.fleet import range_keeper
 from medlarpass_daemon.control.fleet.fleet_state import FleetState
 from medlarpass_daemon.control.fleet.pool_admission_planner import PERIOD_SECONDS
 from medlarpass_daemon.control.fleet.pool_admission_planner import PoolAdmissionPlanner
@@ -146,6 +150,29 @@
     assert not sent.admissions
 
 
+def test_servers_of_an_evacuated_domain_have_no_capacity(leader: LeaderSimulation) -> None:
+    """Guards against a full admission to a pool whose servers mostly get no requests."""
+    assert leader.planner.capacity_of(POOL) == SERVER_COUNT * SERVER_RATE
+    leader.state.tables.evacuated_domains.add("d")
+    assert leader.planner.capacity_of(POOL) is None
+
+
+async def test_the_leader_plans_only_where_the_setting_asks_for_it(
+    new_simulation: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against limits in deployments without the setting, and a plan that is never made."""
+    monkeypatch.setattr(range_keeper, "LOAD_PERIOD_SECONDS", 0.001)
+    keeper = new_simulation(1).keeper
+    for is_on in (False, True):
+        plans: list[bool] = []
+        keeper.admission = SimpleNamespace(apply=partial(plans.append, is_on))
+        keeper.settings.pool_admission = is_on
+        task = asyncio.create_task(keeper._decay_loads())
+        await asyncio.sleep(0.05)
+        task.cancel()
+        assert bool(plans) is is_on
+
+
 def test_silent_servers_have_no_capacity(leader: LeaderSimulation) -> None:
     """Guards against requests for servers that are gone: 3 of 10 are left for the usual demand."""
     leader.run(20, USUAL)
