--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/pool_admission_planner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/pool_admission_planner.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from medlarpass.capacity import PoolAdmission
+from medlarpass.capacity.server_admission import COLD_LIMIT_RATIO
 from medlarpass.dispatch.pool_demands import DECAY_RATIO
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet import events
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Iterable
 
     from medlarpass.capacity import PriorityLimit
@@ -33,8 +33,6 @@
 
     :param fleet: servers, demands and the plan sent to entries
     :param settings: settings for discovery through control
-    :param rate_of: returns the requests per second that a server with some slots can handle, None
-        while unknown; without it nothing is limited
     """
 
     __slots__ = (
@@ -42,22 +40,15 @@
         "fleet",
         "planned_at",
         "publication",
-        "rate_of",
         "rates",
         "settings",
         "targets",
         "term",
     )
 
-    def __init__(
-        self,
-        fleet: FleetState,
-        settings: FleetSettings,
-        rate_of: Callable[[str, int], float | None] | None = None,
-    ) -> None:
+    def __init__(self, fleet: FleetState, settings: FleetSettings) -> None:
         self.fleet = fleet
         self.settings = settings
-        self.rate_of = rate_of
         self.admissions: dict[str, PoolAdmission] = {}
         #: Smoothed demand at the end of the last period, by pool and priority.
         self.rates: dict[str, dict[int, float]] = {}
@@ -106,24 +97,32 @@
     def capacity_of(self, pool: str) -> float | None:
         """Return the requests per second that the usable servers of a pool can serve.
 
-        :returns: None unless the capacity of most of them is known
+        A cold server counts with the rate that entries send to it.
+
+        :returns: None unless the capacity of most warm servers is known
         """
-        if self.rate_of is None:
-            return None
         oldest = self.fleet.clock.now() - self.settings.silent_after * self.settings.heartbeat
-        known_rate, known_slots, slots = 0.0, 0, 0
+        publication = self.fleet.publication
+        published = publication.pools.get(pool) if publication is not None else None
+        warmup_rate = published.warmup_rate if published is not None else None
+        known_rate, cold_rate, known_slots, slots = 0.0, 0.0, 0, 0
         for member in self.fleet.assignable(pool):
             if member.seen_at < oldest or self.fleet.directory.is_replaced(member):
                 continue
             heartbeat = member.heartbeat
+            if member.cold.is_cold and warmup_rate is not None:
+                cold_rate += COLD_LIMIT_RATIO * warmup_rate
+                continue
             slots += heartbeat.slots
-            rate = self.rate_of(heartbeat.identity, heartbeat.slots)
+            rate = self.fleet.capacity.rate_of(heartbeat.identity, heartbeat.slots)
             if rate is not None:
                 known_rate += rate
                 known_slots += heartbeat.slots
+        if not slots:
+            return cold_rate or None
         if not known_slots or known_slots < MIN_KNOWN_RATIO * slots:
             return None
-        return known_rate * slots / known_slots
+        return known_rate * slots / known_slots + cold_rate
 
     def _update_targets(self) -> None:
         publication = self.fleet.publication
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -92,6 +92,7 @@
         self.clock = clock
         self.lease = LeaderLease(log.replica, lease, clock)
         fleet.lease = self.lease
+        fleet.limits.limits_overload = settings.capacity_planning
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
         self.admission = PoolAdmissionPlanner(fleet, settings)
@@ -133,6 +134,7 @@
         self.is_balance_due = now - self.balanced_at >= BALANCE_PERIOD_SECONDS
         if self.is_balance_due:
             self.balanced_at = now
+            self.fleet.limits.update()
         for pool in self.fleet.owned_pools():
             await self._reconcile_pool(pool)
         self.grants.renew()
@@ -165,6 +167,8 @@
                 loads.apply_decay()
             self.fleet.speeds.apply_decay()
             self.fleet.demands.apply_decay()
+            self.fleet.capacity.apply_decay()
+            self.fleet.limits.apply_decay()
             self.fleet.update_weights()
             if self.settings.pool_admission:
                 self.admission.apply()
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
@@ -29,6 +29,8 @@
         "invalid_loads",
         "labelled",
         "latency",
+        "least_admitted",
+        "limited",
         "not_accepting",
         "pool_refusals",
         "queued",
@@ -78,6 +80,18 @@
             ("pool", "reason"),
             registry=registry,
         )
+        self.limited = Gauge(
+            "medlarpass_servers_limited",
+            "Servers that get only a share of their requests from this entry",
+            ("reason",),
+            registry=registry,
+        )
+        self.least_admitted = Gauge(
+            "medlarpass_least_admitted_share",
+            "Least share of the requests for the keys of an owner that this entry sends",
+            registry=registry,
+        )
+        self.least_admitted.set(1.0)
         self.latency = Histogram(
             "medlarpass_request_seconds",
             "Time from the arrival of a request to the end of its answer",
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
@@ -10,6 +10,8 @@
 from medlarpass_daemon.entry.callers.exceptions import NoOwnerError
 from medlarpass_daemon.entry.callers.exceptions import OwnerBusyError
 from medlarpass_daemon.entry.callers.exceptions import PoolOverloadedError
+from medlarpass_daemon.entry.callers.exceptions import ServerColdError
+from medlarpass_daemon.entry.callers.exceptions import ServerOverloadedError
 from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
 from medlarpass_daemon.entry.callers.exceptions import ServersEvacuatedError
@@ -29,6 +31,10 @@
 MAX_PLAN_RATIO = 2.0
 #: The same for the owner of a key, whose queue becomes shorter within a second.
 MAX_TURN_RATIO = 1.5
+#: Bounds of the random factor for callers of a limited server. They return after the expected end
+#: of the limit, and not all at once.
+MIN_LIMIT_RATIO = 1.0
+MAX_LIMIT_RATIO = 1.5
 
 
 @singledispatch
@@ -69,3 +75,9 @@
 def _(error: OwnerBusyError, target: float) -> float:
     seconds = max(error.retry_after, MIN_TARGET_RATIO * target)
     return seconds * random.uniform(1.0, MAX_TURN_RATIO)
+
+
+@retry_after_seconds.register(ServerColdError)
+@retry_after_seconds.register(ServerOverloadedError)
+def _(error: MedlarpassError, target: float) -> float:
+    return error.retry_after * random.uniform(MIN_LIMIT_RATIO, MAX_LIMIT_RATIO)
--- a/packages/medlarpass-daemon/tests/control/fleet/test_pool_admission_planner.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_pool_admission_planner.py
@@ -59,7 +59,7 @@
                 "version": 1,
                 "key_header": "Key",
                 "routes": [route("prices", 0, 2.5), route("reports", 4, 2.5)],
-                "pools": [{"name": POOL, "owned": True, "connections": 100}],
+                "pools": [{"name": POOL, "owned": True, "connections": 100, "warmup_rate": 4.0}],
                 "limits": {},
             }
         )
@@ -67,7 +67,7 @@
         self.fleet = FleetState(self.state, self.clock)
         settings: Any = SimpleNamespace(heartbeat=0.5, silent_after=3)
         self.known_servers = SERVER_COUNT
-        self.planner = PoolAdmissionPlanner(self.fleet, settings, self.rate_of)
+        self.planner = PoolAdmissionPlanner(self.fleet, settings)
         self.sequence = 0
         self.start_term(1)
 
@@ -76,6 +76,8 @@
 
     def start_term(self, term: int) -> None:
         self.fleet.start_term(term)
+        capacity: Any = SimpleNamespace(rate_of=self.rate_of)
+        self.fleet.capacity = capacity
         self.heartbeats(SERVER_COUNT)
 
     def heartbeats(self, count: int) -> None:
@@ -157,6 +159,16 @@
     assert leader.planner.capacity_of(POOL) is None
 
 
+def test_cold_servers_count_with_what_entries_send_to_them(leader: LeaderSimulation) -> None:
+    """Guards against requests that wait for servers that are cold after an evacuation."""
+    for number in range(4):
+        leader.fleet.directory.members[f"s{number}"].cold.update(10.0, leader.clock.now())
+    assert leader.planner.capacity_of(POOL) == 6 * SERVER_RATE + 4 * 3.0
+    for member in leader.fleet.directory.members.values():
+        member.cold.update(10.0, leader.clock.now())
+    assert leader.planner.capacity_of(POOL) == 10 * 3.0
+
+
 async def test_the_leader_plans_only_where_the_setting_asks_for_it(
     new_simulation: Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
