Hold the highest recent estimate of the capacity of a pool

Cause: in a simulation with the real estimate of the capacity, pools whose servers report no load were limited without need: their estimates fall as soon as queues grow, and a limit lowers them further.

A test runs entries, servers, estimate and decisions with their delays.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/pool_admission_planner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/pool_admission_planner.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.capacity import PeakRate
 from medlarpass.capacity import PoolAdmission
 from medlarpass.capacity.server_admission import COLD_LIMIT_RATIO
 from medlarpass.dispatch.pool_demands import DECAY_RATIO
@@ -38,6 +39,7 @@
     __slots__ = (
         "admissions",
         "fleet",
+        "peaks",
         "planned_at",
         "publication",
         "rates",
@@ -52,6 +54,8 @@
         self.admissions: dict[str, PoolAdmission] = {}
         #: Smoothed demand at the end of the last period, by pool and priority.
         self.rates: dict[str, dict[int, float]] = {}
+        #: Highest recent capacity of a slot, by pool.
+        self.peaks: dict[str, PeakRate] = {}
         #: Publication in force, and its target latencies in seconds by pool and priority.
         self.publication: Publication | None = None
         self.targets: dict[str, dict[int, float]] = {}
@@ -80,6 +84,7 @@
             self.term = self.fleet.led_term
             self.admissions.clear()
             self.rates.clear()
+            self.peaks.clear()
             self.planned_at = now - PERIOD_SECONDS
         seconds = max(now - self.planned_at, PERIOD_SECONDS / 2)
         self.planned_at = now
@@ -97,7 +102,7 @@
     def capacity_of(self, pool: str) -> float | None:
         """Return the requests per second that the usable servers of a pool can serve.
 
-        A cold server counts with the rate that entries send to it.
+        A cold server counts with the rate that entries send to it. Called once in each period.
 
         :returns: None unless the capacity of most warm servers is known
         """
@@ -122,7 +127,8 @@
             return cold_rate or None
         if not known_slots or known_slots < MIN_KNOWN_RATIO * slots:
             return None
-        return known_rate * slots / known_slots + cold_rate
+        peak = self.peaks.setdefault(pool, PeakRate())
+        return peak.update(known_rate / known_slots) * slots + cold_rate
 
     def _update_targets(self) -> None:
         publication = self.fleet.publication
--- a/packages/medlarpass-daemon/tests/control/fleet/test_pool_admission_planner.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_pool_admission_planner.py
@@ -152,6 +152,18 @@
     assert not sent.admissions
 
 
+def test_an_estimate_that_falls_with_a_queue_is_followed_slowly(leader: LeaderSimulation) -> None:
+    """Guards against a limit that lowers the completions, and with them the capacity, ever more.
+
+    The estimate of servers that report no load falls to a half while requests wait there.
+    """
+    leader.run(8, USUAL)
+    capacity: Any = SimpleNamespace(rate_of=lambda identity, slots: SERVER_RATE / 2)
+    leader.fleet.capacity = capacity
+    assert leader.run(16, USUAL) == []
+    assert leader.planner.peaks[POOL].rate * 3 == pytest.approx(SERVER_RATE, rel=0.05)
+
+
 def test_servers_of_an_evacuated_domain_have_no_capacity(leader: LeaderSimulation) -> None:
     """Guards against a full admission to a pool whose servers mostly get no requests."""
     assert leader.planner.capacity_of(POOL) == SERVER_COUNT * SERVER_RATE
--- a/packages/medlarpass/src/medlarpass/capacity/__init__.py
+++ b/packages/medlarpass/src/medlarpass/capacity/__init__.py
@@ -5,6 +5,7 @@
 from medlarpass.capacity.cold_time import ColdTime
 from medlarpass.capacity.demand_rates import DemandRates
 from medlarpass.capacity.demand_rates import counted_seconds
+from medlarpass.capacity.peak_rate import PeakRate
 from medlarpass.capacity.pool_admission import PoolAdmission
 from medlarpass.capacity.pool_traffic import PoolTraffic
 from medlarpass.capacity.pool_traffic import ServerTraffic
@@ -15,6 +16,7 @@
 __all__ = [
     "ColdTime",
     "DemandRates",
+    "PeakRate",
     "PoolAdmission",
     "PoolTraffic",
     "PriorityLimit",
--- a/packages/medlarpass/src/medlarpass/capacity/pool_admission.py
+++ b/packages/medlarpass/src/medlarpass/capacity/pool_admission.py
@@ -21,6 +21,8 @@
 #: Ratio of the capacity by which the estimated queue shrinks while a limit is in force. Delays make
 #: the estimate drift; a real queue that is longer than estimated is worked off with the rest.
 CAUTIOUS_RATIO = 0.97
+#: The same without a limit: errors of the capacity of up to 2% do not add up to a queue.
+TOLERANT_RATIO = 1.02
 #: Share of the target latency that requests may spend in queues. The rest is needed for the work
 #: itself, whose time varies, and for the network.
 QUEUE_RATIO = 0.6
@@ -102,7 +104,7 @@
             self._reset()
             return {}
         limits = self.in_force[0] if len(self.in_force) == REPORT_DELAY_PERIODS else {}
-        drained = capacity * seconds * (CAUTIOUS_RATIO if self.is_limiting else 1.0)
+        drained = capacity * seconds * (CAUTIOUS_RATIO if self.is_limiting else TOLERANT_RATIO)
         self.backlog = max(self.backlog + _admitted(requests, limits) - drained, 0.0)
         self._decide(capacity, targets, seconds)
         self.in_force.append(self.limits)
