--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -135,6 +135,7 @@
         if self.is_balance_due:
             self.balanced_at = now
             self.fleet.limits.update()
+        self.evacuations.begin_step()
         for pool in self.fleet.owned_pools():
             await self._reconcile_pool(pool)
         self.grants.renew()
