--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -16,6 +16,7 @@
 from medlarpass_daemon.control.fleet import events
 from medlarpass_daemon.control.fleet.evacuation_moves import EvacuationMoves
 from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
+from medlarpass_daemon.control.fleet.pool_admission_planner import PoolAdmissionPlanner
 from medlarpass_daemon.control.fleet.range_grants import RangeGrants
 from medlarpass_daemon.control.fleet.range_moves import RangeMoves
 from medlarpass_daemon.supervision import supervise
@@ -61,6 +62,7 @@
     """
 
     __slots__ = (
+        "admission",
         "balanced_at",
         "clock",
         "evacuations",
@@ -93,6 +95,7 @@
         fleet.limits.limits_overload = settings.capacity_planning
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
+        self.admission = PoolAdmissionPlanner(fleet, settings)
         self.evacuations = EvacuationMoves(fleet, self.grants, self.moves, clock)
         self.leading_since = 0.0
         #: Highest number of servers seen in a pool without owners, and when it was reached.
@@ -168,6 +171,8 @@
             self.fleet.capacity.apply_decay()
             self.fleet.limits.apply_decay()
             self.fleet.update_weights()
+            if self.settings.pool_admission:
+                self.admission.apply()
 
     async def _reconcile_pool(self, pool: str) -> None:
         assigned = self.fleet.state.ranges.pools.get(pool, [])
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
@@ -26,11 +26,13 @@
 
     __slots__ = (
         "in_flight",
+        "invalid_loads",
         "labelled",
         "latency",
         "least_admitted",
         "limited",
         "not_accepting",
+        "pool_refusals",
         "queued",
         "refusals",
         "requests",
@@ -67,6 +69,17 @@
             ("reason",),
             registry=registry,
         )
+        self.invalid_loads = Counter(
+            "medlarpass_invalid_server_loads",
+            "Responses of servers with a load report that is malformed or out of range",
+            registry=registry,
+        )
+        self.pool_refusals = Counter(
+            "medlarpass_pool_refusals",
+            "Requests refused because their pool is asked for more than it can serve",
+            ("pool", "reason"),
+            registry=registry,
+        )
         self.limited = Gauge(
             "medlarpass_servers_limited",
             "Servers that get only a share of their requests from this entry",
