--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -16,6 +16,7 @@
 from medlarpass_daemon.control.fleet import events
 from medlarpass_daemon.control.fleet.evacuation_moves import EvacuationMoves
 from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
+from medlarpass_daemon.control.fleet.pool_admission_planner import PoolAdmissionPlanner
 from medlarpass_daemon.control.fleet.range_grants import RangeGrants
 from medlarpass_daemon.control.fleet.range_moves import RangeMoves
 from medlarpass_daemon.supervision import supervise
@@ -62,6 +63,7 @@
     """
 
     __slots__ = (
+        "admission",
         "balanced_at",
         "clock",
         "evacuations",
@@ -95,6 +97,7 @@
         fleet.limits.limits_overload = settings.capacity_planning
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
+        self.admission = PoolAdmissionPlanner(fleet, settings)
         #: Decides on the traffic of all pools; set by the role.
         self.traffic_planner: TrafficPlanner | None = None
         self.evacuations = EvacuationMoves(fleet, self.grants, self.moves, clock)
@@ -176,6 +179,8 @@
             self.fleet.capacity.apply_decay()
             self.fleet.limits.apply_decay()
             self.fleet.update_weights()
+            if self.settings.pool_admission:
+                self.admission.apply()
             if self.traffic_planner is not None:
                 self.traffic_planner.update()
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/traffic_planner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/traffic_planner.py
@@ -27,7 +27,7 @@
 
 
 class TrafficPlanner:
-    """Decides on the traffic of all pools once per report period.
+    """Decides once per report period which requests leave their failure domain.
 
     :param fleet: servers, demand and the plan in force
     :param settings: settings of discovery through control
@@ -65,16 +65,17 @@
         self.metrics.domain_share_leaving.clear()
 
     def update(self) -> None:
-        """Build the plan and mark the feed as outdated if the plan has changed."""
-        plan = fleet_pb2.TrafficPlan(shares=self._shares(), admissions=self._admissions())
+        """Build the plan and mark the feed as outdated if the plan has changed.
+
+        The admissions are those that ``PoolAdmissionPlanner`` has decided in this period.
+        """
+        plan = fleet_pb2.TrafficPlan(
+            shares=self._shares(), admissions=self.fleet.traffic_plan.admissions
+        )
         if plan != self.fleet.traffic_plan:
             self.fleet.traffic_plan = plan
             self.fleet.notify()
 
-    def _admissions(self) -> list[fleet_pb2.PoolAdmission]:
-        """Return the limits of pools; none are decided yet."""
-        return []
-
     def _shares(self) -> list[fleet_pb2.DomainShare]:
         if not self.settings.domain_routing or not self._has_reports():
             return []
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/events.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/events.py
@@ -1,4 +1,4 @@
-"""Log events of the request path, numbers 4100 to 4199."""
+"""Log events of the request path, numbers 4100 to 4199 and from 5135."""
 
 from __future__ import annotations
 
@@ -14,4 +14,5 @@
 INVALID_PAUSE = Event(4106, "server_pause_invalid")
 TRAFFIC_PLAN_OUTDATED = Event(5130, "traffic_plan_outdated")
 DOMAIN_WITHOUT_SERVERS = Event(5131, "domain_without_servers")
+INVALID_LOAD = Event(5135, "server_load_invalid")
 ANSWER_ABORTED = Event(4102, "answer_aborted")
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exchange.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exchange.py
@@ -13,6 +13,7 @@
     from multidict import CIMultiDict
 
     from medlarpass import Clock
+    from medlarpass.dispatch import ServerLoadReport
     from medlarpass_daemon.entry.callers.connector import ServerProtocol
     from medlarpass_daemon.entry.callers.dialect import Dialect
     from medlarpass_daemon.entry.callers.interfaces import Target
@@ -43,6 +44,7 @@
         "headers",
         "is_unsent",
         "keeps_connection",
+        "load",
         "method",
         "path",
         "protocol",
@@ -82,6 +84,8 @@
         self.keeps_connection = True
         #: Connection on which the request was sent.
         self.protocol: ServerProtocol | None = None
+        #: Load that the server reported in its response.
+        self.load: ServerLoadReport | None = None
 
     @property
     def remaining(self) -> float:
--- a/packages/medlarpass-daemon/tests/control/fleet/test_traffic_planner.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_traffic_planner.py
@@ -121,6 +121,16 @@
     assert leader.shares == {}
 
 
+def test_the_admissions_of_the_period_stay_in_the_plan() -> None:
+    """Guards against a limit of an overloaded pool that ends when the shares change."""
+    leader = Planner()
+    admission = fleet_pb2.PoolAdmission(pool="images", priority=2, admitted=400)
+    leader.fleet.traffic_plan = fleet_pb2.TrafficPlan(admissions=[admission])
+    leader.run({"a": 48.0, "b": 16.0, "c": 16.0}, 6.0)
+    assert leader.shares.keys() == {"a"}
+    assert list(leader.fleet.traffic_plan.admissions) == [admission]
+
+
 def test_a_steady_demand_is_not_sent_again() -> None:
     """Guards against an update to all entries in each period."""
     leader = Planner()
--- a/packages/medlarpass/src/medlarpass/dispatch/__init__.py
+++ b/packages/medlarpass/src/medlarpass/dispatch/__init__.py
@@ -38,6 +38,7 @@
 from medlarpass.dispatch.pause_monitor import PauseMonitor
 from medlarpass.dispatch.peer_loads import PeerLoads
 from medlarpass.dispatch.pool_demands import PoolDemands
+from medlarpass.dispatch.reported_load import ReportedLoads
 from medlarpass.dispatch.request_kinds import Download
 from medlarpass.dispatch.request_kinds import Enquiry
 from medlarpass.dispatch.request_kinds import Order
@@ -49,6 +50,7 @@
 from medlarpass.dispatch.retry_policy import RetryDecision
 from medlarpass.dispatch.retry_policy import RetryPolicy
 from medlarpass.dispatch.server_load import ServerLoad
+from medlarpass.dispatch.server_load_report import ServerLoadReport
 from medlarpass.dispatch.server_subset import ServerSubset
 from medlarpass.dispatch.server_subset import subset_size
 from medlarpass.dispatch.server_weights import ServerWeights
@@ -111,6 +113,7 @@
     "RandomBalancer",
     "RequestClass",
     "RequestKind",
+    "ReportedLoads",
     "ResponseTimes",
     "RetryBudget",
     "RetryBudgetSettings",
@@ -120,6 +123,7 @@
     "RoundRobinBalancer",
     "RouteShare",
     "ServerLoad",
+    "ServerLoadReport",
     "ServerSubset",
     "ServerWeights",
     "SharedServerLimiter",
