Plan keys by the capacity of servers and limit overloaded owners

With fleet.capacity_planning, weights follow ServerCapacity and CapacityPlanner takes the load of keys as a density: a limit at three deviations of a server's recent count is twice the mean, while the keys that become hot together are many requests. Parts go to the server that is least utilised with them, and a key that exceeds its server to the fastest one, alone.

An owner whose keys get more than it can handle gets its share.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -6,6 +6,8 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.capacity import limit_cold_weights
+from medlarpass.ranges import CapacityPlanner
 from medlarpass.ranges import KeyIntervals
 from medlarpass.ranges import PlannerServer
 from medlarpass.ranges import RangeAssignment
@@ -91,6 +93,7 @@
         fleet.limits.limits_overload = settings.capacity_planning
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
+        fleet.limits.ranges_after_moves = self.moves.ranges_after_moves
         self.leading_since = 0.0
         #: Highest number of servers seen in a pool without owners, and when it was reached.
         self.join_progress: dict[str, tuple[int, float]] = {}
@@ -184,9 +187,14 @@
             return
         if self.is_balance_due and self._has_load_reports():
             loads = self.fleet.loads_of(pool)
-            for part in plan_rebalancing(
-                pool, loads, self.moves.ranges_after_moves(pool, assigned), servers
-            ):
+            planned = self.moves.ranges_after_moves(pool, assigned)
+            if self.settings.capacity_planning:
+                moves = CapacityPlanner(pool, self.fleet.limits.density_of(pool)).plan_moves(
+                    planned, servers
+                )
+            else:
+                moves = plan_rebalancing(pool, loads, planned, servers)
+            for part in moves:
                 self.moves.start(assigned, part)
 
     def _have_servers_joined(self, pool: str, servers: int) -> bool:
@@ -211,12 +219,38 @@
             for member in self.fleet.directory.assignable(pool)
             if not self.fleet.directory.is_replaced(member) and not self._is_unavailable(member)
         ]
+        weights = self._limit_cold(pool, heartbeats, self._weights(heartbeats))
+        return [
+            PlannerServer(heartbeat.identity, heartbeat.incarnation, weight)
+            for heartbeat, weight in zip(heartbeats, weights, strict=True)
+        ]
+
+    def _weights(self, heartbeats: list[ServerHeartbeat]) -> list[float]:
+        if self.settings.capacity_planning:
+            slots = {heartbeat.identity: heartbeat.slots for heartbeat in heartbeats}
+            factors = self.fleet.limits.weights.weights(slots)
+            return [
+                factor * _warmup_ratio(heartbeat)
+                for heartbeat, factor in zip(heartbeats, factors, strict=True)
+            ]
         factors = self.fleet.speeds.weight_factors([heartbeat.identity for heartbeat in heartbeats])
         return [
-            PlannerServer(heartbeat.identity, heartbeat.incarnation, _weight(heartbeat) * factor)
+            heartbeat.slots * _warmup_ratio(heartbeat) * factor
             for heartbeat, factor in zip(heartbeats, factors, strict=True)
         ]
 
+    def _limit_cold(
+        self, pool: str, heartbeats: list[ServerHeartbeat], weights: list[float]
+    ) -> list[float]:
+        """Return the weights with those of cold servers reduced to the published rate."""
+        publication = self.fleet.publication
+        published = publication.pools.get(pool) if publication is not None else None
+        is_cold = [heartbeat.warmup_seconds > 0 for heartbeat in heartbeats]
+        if published is None or published.warmup_rate is None or not any(is_cold):
+            return weights
+        demand = self.fleet.limits.steady_demand(pool)
+        return limit_cold_weights(weights, is_cold, published.warmup_rate, demand)
+
     def _is_unavailable(self, member: FleetMember) -> bool:
         since_heartbeat = self.clock.now() - member.seen_at
         return (
@@ -285,5 +319,5 @@
         )
 
 
-def _weight(heartbeat: ServerHeartbeat) -> float:
-    return heartbeat.slots * (WARMUP_WEIGHT_RATIO if heartbeat.warmup_seconds else 1.0)
+def _warmup_ratio(heartbeat: ServerHeartbeat) -> float:
+    return WARMUP_WEIGHT_RATIO if heartbeat.warmup_seconds else 1.0
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/server_limits.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/server_limits.py
@@ -4,19 +4,24 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.capacity import CapacityWeights
 from medlarpass.capacity import DemandRates
 from medlarpass.capacity import PoolTraffic
 from medlarpass.capacity import ServerAdmission
 from medlarpass.capacity import ServerTraffic
 from medlarpass.capacity import counted_seconds
+from medlarpass.ranges import KEY_COUNT
+from medlarpass.ranges import DensityLoads
 from medlarpass.ranges import server_loads
 from medlarpass_daemon.control.fleet import events
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from medlarpass.fleet import FleetMember
     from medlarpass.publication import PublishedPool
+    from medlarpass.ranges import RangeAssignment
     from medlarpass.rpc import fleet_pb2
     from medlarpass_daemon.control.fleet.fleet_state import FleetState
 
@@ -36,15 +41,22 @@
         "admission",
         "answered",
         "decayed_at",
+        "densities",
         "fleet",
         "limits_overload",
+        "ranges_after_moves",
         "requested",
+        "weights",
     )
 
     def __init__(self, fleet: FleetState) -> None:
         self.fleet = fleet
         #: Whether overloaded warm servers are limited too.
         self.limits_overload = False
+        #: Returns the ranges of a pool as they will be after the moves in progress.
+        self.ranges_after_moves: Callable[[str, list[RangeAssignment]], list[RangeAssignment]] = (
+            lambda pool, assigned: assigned
+        )
         self.start_term()
 
     def start_term(self) -> None:
@@ -55,6 +67,10 @@
         #: Responses of the servers of each pool; entries of older versions count no requests.
         self.answered = DemandRates()
         self.decayed_at = self.fleet.clock.now()
+        #: Load of the keys of each pool at the last decision.
+        self.densities: dict[str, DensityLoads] = {}
+        #: Capacities as weights for the planner.
+        self.weights = CapacityWeights(self.fleet.capacity)
 
     def restore(self, member: FleetMember, sent: fleet_pb2.FleetServer | None) -> None:
         """Take over what the previous leader had sent about a server that was cold.
@@ -83,10 +99,15 @@
         self.requested.apply_decay()
         self.answered.apply_decay()
         self.decayed_at = self.fleet.clock.now()
+        members = self.fleet.directory.members.values()
+        self.weights.update(
+            {member.heartbeat.identity: member.heartbeat.slots for member in members}
+        )
 
     def update(self) -> None:
         """Decide the limits of all servers, and have entries told if one has changed."""
         now = self.fleet.clock.now()
+        self.densities.clear()
         has_change = False
         for member in self.fleet.directory.members.values():
             if member.cold.expire(now):
@@ -118,9 +139,16 @@
         """Return the share that entries may send to a server; 0 without a limit."""
         return self.admission.sent.get(identity, 0.0)
 
-    def window(self) -> float:
-        """Return the seconds that the recent counts are worth now."""
-        return counted_seconds(self.fleet.clock.now() - self.decayed_at)
+    def density_of(self, pool: str) -> DensityLoads:
+        """Return the load of the keys of a pool as of the last decision."""
+        density = self.densities.get(pool)
+        if density is None:
+            density = self.densities[pool] = DensityLoads(self.fleet.loads_of(pool))
+        return density
+
+    def steady_demand(self, pool: str) -> float:
+        """Return the requests per second for the keys of a pool, over about 10 s."""
+        return self.fleet.loads_of(pool).steady.load_between(0, KEY_COUNT - 1) / STEADY_SECONDS
 
     def _update_pool(self, pool: PublishedPool) -> bool:
         if pool.warmup_rate is None and not (pool.owned and self.limits_overload):
@@ -130,6 +158,8 @@
             for member in self.fleet.directory.current()
             if member.heartbeat.pool == pool.name and not member.is_retired
         ]
+        if pool.owned and not self.limits_overload and not any(m.cold.is_cold for m in members):
+            return self._remove_limits(pool)
         before = {
             member.heartbeat.identity: self.share_of(member.heartbeat.identity)
             for member in members
@@ -159,11 +189,10 @@
                 events.SERVER_UNLIMITED.log(server=identity, pool=pool.name)
 
     def _traffic(self, pool: PublishedPool, members: Sequence[FleetMember]) -> PoolTraffic:
-        window = self.window()
         since_decay = self.fleet.clock.now() - self.decayed_at
         is_known = self.fleet.clock.now() - self.fleet.led_at >= FIGURES_WAIT_SECONDS
         servers = (
-            self._owning_servers(pool.name, members, window)
+            self._owning_servers(pool.name, members, counted_seconds(since_decay))
             if pool.owned
             else [
                 ServerTraffic(
@@ -176,26 +205,40 @@
             self.requested.rate_of(pool.name, since_decay),
             self.answered.rate_of(pool.name, since_decay),
         )
-        return PoolTraffic(
-            pool.name, pool.owned, pool.warmup_rate, servers, window, demand, is_known
-        )
+        return PoolTraffic(pool.name, pool.owned, pool.warmup_rate, servers, demand, is_known)
 
     def _owning_servers(
         self, pool: str, members: Sequence[FleetMember], window: float
     ) -> list[ServerTraffic]:
-        loads = self.fleet.loads_of(pool)
+        loads, density = self.fleet.loads_of(pool), self.density_of(pool)
         identities = [member.heartbeat.identity for member in members]
         assigned = self.fleet.state.ranges.pools.get(pool, [])
-        recent = server_loads(loads.recent, assigned, identities)
+        shares = server_loads(density, assigned, identities)
+        # A limit has to be known to entries before the keys that it is for.
+        planned = self.ranges_after_moves(pool, assigned)
+        for identity, share in server_loads(density, planned, identities).items():
+            shares[identity] = max(shares[identity], share)
         steady = server_loads(loads.steady, assigned, identities)
-        return [
-            ServerTraffic(
-                member.heartbeat.identity,
-                member.heartbeat.slots,
-                member.cold.is_cold,
-                self.fleet.capacity.rate_of(member.heartbeat.identity, member.heartbeat.slots),
-                recent[member.heartbeat.identity] / window,
-                steady[member.heartbeat.identity] / STEADY_SECONDS,
-            )
-            for member in members
-        ]
+        # The density has the shares of the keys, and the recent counts the rate of the pool.
+        last = KEY_COUNT - 1
+        rate = loads.recent.load_between(0, last) / window / density.load_between(0, last)
+        return [self._owning_server(member, shares, steady, rate) for member in members]
+
+    def _owning_server(
+        self,
+        member: FleetMember,
+        shares: dict[str, float],
+        steady: dict[str, float],
+        rate: float,
+    ) -> ServerTraffic:
+        identity, slots = member.heartbeat.identity, member.heartbeat.slots
+        capacity = self.fleet.capacity
+        return ServerTraffic(
+            identity,
+            slots,
+            member.cold.is_cold,
+            capacity.rate_of(identity, slots),
+            shares[identity] * rate,
+            steady[identity] / STEADY_SECONDS,
+            capacity.is_queueing(identity, slots),
+        )
--- a/packages/medlarpass-daemon/tests/control/fleet/test_cold_limits.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_server_limits.py
@@ -1,4 +1,4 @@
-"""Limits of cold servers from their heartbeats to the decisions of all entries."""
+"""Limits of cold and overloaded servers from the leader to the decisions of all entries."""
 
 from __future__ import annotations
 
@@ -20,6 +20,7 @@
 from medlarpass_daemon.control.fleet.fleet_feed import WatchCursor
 from medlarpass_daemon.entry.callers import NoOwnerError
 from medlarpass_daemon.entry.callers.exceptions import ServerColdError
+from medlarpass_daemon.entry.callers.exceptions import ServerOverloadedError
 from medlarpass_daemon.entry.callers.server_thinning import ServerThinning
 from medlarpass_daemon.entry.fleet.fleet_routing import FleetRouting
 from medlarpass_daemon.entry.fleet.fleet_servers import FleetServers
@@ -39,6 +40,10 @@
 #: Usual requests per second of the pool: sixteen for each server.
 DEMAND = 160.0
 RETRY_RATIO = 0.2
+#: Requests per second that a warm server completes, its slots, and the most that it holds.
+CAPACITY = 12.0
+MAX_HELD_COUNT = 15
+HOT_KEY = 30_000
 OWNED_POOL = "stock"
 OPEN_POOL = "open"
 
@@ -76,18 +81,20 @@
         while self.updates and self.updates[0][0] <= step:
             self.servers.apply(self.updates.popleft()[1])
 
-    def send(self, pool: Any) -> str | None:
+    def send(self, pool: Any, hot_share: float) -> str | None:
         """Return the server that gets an attempt; None if it is refused."""
         try:
             if pool.owned:
-                owner = self.servers.owner_of(pool, str(self.rng.randrange(KEY_COUNT)))
+                is_hot = self.rng.random() < hot_share
+                key = HOT_KEY if is_hot else self.rng.randrange(KEY_COUNT)
+                owner = self.servers.owner_of(pool, str(key))
                 self.thinning.check_owner(owner, self.servers.view_age())
                 return owner.identity
             targets = self.thinning.admitted_targets(
                 self.servers.available_servers(pool.name), self.thinning.draw(), lambda _: True
             )
             return self.rng.choice(targets).identity if targets else None
-        except (NoOwnerError, ServerColdError):
+        except (NoOwnerError, ServerColdError, ServerOverloadedError):
             return None
 
 
@@ -104,6 +111,11 @@
         self.reports: deque[tuple[int, fleet_pb2.EntryReport]] = deque()
         self.step_number = 0
         self.demand = DEMAND
+        #: Share of the requests that is for one key.
+        self.hot_share = 0.0
+        #: Requests that each server holds, and those that it has rejected.
+        self.held: dict[str, float] = {}
+        self.rejected = 0
         self.sequence = 0
         #: Attempts by server in each step.
         self.sent: list[dict[str, int]] = []
@@ -128,6 +140,7 @@
             for loads in fleet.loads.values():
                 loads.apply_decay()
             fleet.limits.apply_decay()
+            fleet.capacity.apply_decay()
         fleet.update_feed([], fleet_pb2.FleetSource(address="control"))
         for entry in self.entries:
             entry.follow(fleet, self.step_number)
@@ -160,16 +173,32 @@
             requests += 1
             entry = self.rng.choice(self.entries)
             while True:
-                server = entry.send(self.pool)
+                server = entry.send(self.pool, self.hot_share)
                 if server is not None:
                     sent[server] = sent.get(server, 0) + 1
                 if server is None or self.rng.random() >= RETRY_RATIO:
                     break
         self.sent.append(sent)
+        self._respond(sent, report)
         if not self.pool.owned:
             report.demands.add(pool=self.pool.name, requests=requests)
         self.reports.append((self.step_number + REPORT_STEPS, report))
 
+    def _respond(self, sent: dict[str, int], report: fleet_pb2.EntryReport) -> None:
+        """Let the servers work, and add their response times to a report."""
+        for name in {*sent, *self.held}:
+            held = self.held.get(name, 0.0) + sent.get(name, 0)
+            self.rejected += max(round(held - MAX_HELD_COUNT), 0)
+            held = min(held, MAX_HELD_COUNT)
+            done = min(held, CAPACITY * STEP_SECONDS)
+            self.held[name] = held - done
+            answers = int(done + self.rng.random())
+            # Three slots work for a quarter of a second, and the rest of the requests queues.
+            milliseconds = 250 + max(held - 3, 0) * 1000 / CAPACITY
+            report.times.add(
+                identity=name, answers=answers, milliseconds=round(answers * milliseconds)
+            )
+
     def _report(self) -> None:
         report = self.reports[-1][1]
         report.loads.extend(self.loads.pop_counts())
@@ -179,6 +208,8 @@
             fleet.limits.add_report(due)
             for load in due.loads:
                 fleet.loads_of(load.pool).add(load.keys, load.requests)
+            for time in due.times:
+                fleet.capacity.add(time.identity, time.answers, time.milliseconds / 1000)
 
     def busiest_second(self, server: str, begin: int, end: int) -> int:
         """Return the most attempts at a server in any second between two steps."""
@@ -288,3 +319,47 @@
     assert cold_until <= first < late
     await fleet.run(5.0)
     assert not any(entry.servers.cold_until for entry in fleet.entries)
+
+
+async def rejections_with_a_hot_key(fleet: ColdFleet, limits_overload: bool) -> int:
+    """Return the rejections of servers in 4 s, after a key has had 40% of the requests for 4 s."""
+    simulation = fleet.simulation
+    simulation.keeper.settings.capacity_planning = limits_overload
+    simulation.fleet.limits.limits_overload = limits_overload
+    fleet.demand = 6.0 * SERVER_COUNT
+    await fleet.run(15.0)
+    fleet.hot_share = 0.4
+    await fleet.run(4.0)
+    before = fleet.rejected
+    await fleet.run(4.0)
+    return fleet.rejected - before
+
+
+@pytest.mark.parametrize("entry_count", [1, 75, 300])
+async def test_the_owner_of_a_hot_key_gets_what_it_can_handle(
+    new_simulation: Any, entry_count: int
+) -> None:
+    """Guards against rejections by the owner of a key that gets 40% of a pool's requests."""
+    unlimited = ColdFleet(new_simulation(SERVER_COUNT), OWNED_POOL, entry_count, 23)
+    assert await rejections_with_a_hot_key(unlimited, False) > 40
+    limited = ColdFleet(new_simulation(SERVER_COUNT), OWNED_POOL, entry_count, 23)
+    rejected = await rejections_with_a_hot_key(limited, True)
+    assert rejected < 20
+    (owner,) = [
+        own.identity
+        for own in limited.simulation.state.ranges.pools[OWNED_POOL]
+        if own.first <= HOT_KEY <= own.last
+    ]
+    attempts = sum(sent.get(owner, 0) for sent in limited.sent[-40:]) / 4
+    assert 0.6 * CAPACITY < attempts < 1.3 * CAPACITY
+    limited.hot_share = 0.0
+    await limited.run(5.0)
+    assert owner not in limited.simulation.fleet.limits.admission.sent
+
+
+async def test_without_the_setting_no_warm_server_is_limited(new_simulation: Any) -> None:
+    """Guards against refusals in deployments that do not ask for them."""
+    fleet = ColdFleet(new_simulation(SERVER_COUNT), OWNED_POOL, 5, 29)
+    fleet.hot_share = 0.4
+    await fleet.run(8.0)
+    assert not any(server.admitted for server in fleet.simulation.fleet.feed.servers.items.values())
--- a/packages/medlarpass/src/medlarpass/capacity/__init__.py
+++ b/packages/medlarpass/src/medlarpass/capacity/__init__.py
@@ -6,12 +6,15 @@
 from medlarpass.capacity.demand_counts import DemandCounts
 from medlarpass.capacity.demand_rates import DemandRates
 from medlarpass.capacity.demand_rates import counted_seconds
+from medlarpass.capacity.planner_weights import CapacityWeights
+from medlarpass.capacity.planner_weights import limit_cold_weights
 from medlarpass.capacity.pool_traffic import PoolTraffic
 from medlarpass.capacity.pool_traffic import ServerTraffic
 from medlarpass.capacity.server_admission import ServerAdmission
 from medlarpass.capacity.server_capacity import ServerCapacity
 
 __all__ = [
+    "CapacityWeights",
     "ColdTime",
     "DemandCounts",
     "DemandRates",
@@ -20,4 +23,5 @@
     "ServerCapacity",
     "ServerTraffic",
     "counted_seconds",
+    "limit_cold_weights",
 ]
--- a/packages/medlarpass/src/medlarpass/capacity/pool_traffic.py
+++ b/packages/medlarpass/src/medlarpass/capacity/pool_traffic.py
@@ -19,9 +19,18 @@
     :param capacity: what it can handle; None while unknown
     :param offered: recent requests for its keys
     :param steady: requests for its keys over a longer time
+    :param is_queueing: whether most requests queue at it
     """
 
-    __slots__ = ("capacity", "identity", "is_cold", "offered", "slots", "steady")
+    __slots__ = (
+        "capacity",
+        "identity",
+        "is_cold",
+        "is_queueing",
+        "offered",
+        "slots",
+        "steady",
+    )
 
     def __init__(
         self,
@@ -31,6 +40,7 @@
         capacity: float | None = None,
         offered: float = 0.0,
         steady: float = 0.0,
+        is_queueing: bool = False,
     ) -> None:
         self.identity = identity
         self.slots = slots
@@ -38,6 +48,7 @@
         self.capacity = capacity
         self.offered = offered
         self.steady = steady
+        self.is_queueing = is_queueing
 
 
 class PoolTraffic(Value):
@@ -47,12 +58,11 @@
     :param owned: whether servers own its keys
     :param warmup_rate: requests per second that a cold server can handle; None for no limit
     :param servers: its servers
-    :param window: seconds over which the recent requests were counted
     :param demand: requests per second of the whole pool
     :param is_known: whether the rates are known; a new leader has none yet
     """
 
-    __slots__ = ("demand", "is_known", "owned", "pool", "servers", "warmup_rate", "window")
+    __slots__ = ("demand", "is_known", "owned", "pool", "servers", "warmup_rate")
 
     def __init__(
         self,
@@ -60,7 +70,6 @@
         owned: bool,
         warmup_rate: float | None,
         servers: Sequence[ServerTraffic],
-        window: float,
         demand: float = 0.0,
         is_known: bool = True,
     ) -> None:
@@ -68,6 +77,5 @@
         self.owned = owned
         self.warmup_rate = warmup_rate
         self.servers = servers
-        self.window = window
         self.demand = demand
         self.is_known = is_known
--- a/packages/medlarpass/src/medlarpass/capacity/server_admission.py
+++ b/packages/medlarpass/src/medlarpass/capacity/server_admission.py
@@ -6,8 +6,6 @@
 
 from typing import TYPE_CHECKING
 
-from medlarpass.capacity.smoothed_rate import SmoothedRate
-
 if TYPE_CHECKING:
     from medlarpass.capacity.pool_traffic import PoolTraffic
     from medlarpass.capacity.pool_traffic import ServerTraffic
@@ -17,13 +15,15 @@
 #: Ratio of the capacity above which the limit begins, and below which it ends.
 OVERLOAD_RATIO = 1.1
 OVERLOAD_END_RATIO = 0.9
-#: Standard deviations by which the requests over 2 s have to exceed the capacity before a limit
-#: begins; the queue of a server takes a shorter excess.
+#: Standard deviations by which the requests have to exceed the capacity before a limit begins, over
+#: 2 s and over the time of the steady load. The queue of a server takes a shorter excess.
 MIN_DEVIATION_COUNT = 2.0
 EXCESS_SECONDS = 2.0
-#: Ratio of the capacity of a limited server that remains at each decision at least. Such a server
-#: completes no more than its limit, so that its estimate would follow the limit down.
-CAPACITY_DECAY_RATIO = 0.99
+STEADY_SECONDS = 10.0
+#: Ratio by which the capacity of a limited server changes at each decision at most. Such a server
+#: completes no more than its limit, so that its estimate would follow the limit down; the limit
+#: grows while requests hardly queue.
+CAPACITY_STEP_RATIO = 1.01
 #: Ratio of the rate of a cold server that is aimed at: the rest is for random variation, retries
 #: and a demand that grows until the next decision arrives.
 COLD_LIMIT_RATIO = 0.75
@@ -49,13 +49,11 @@
     demand, however many they are.
     """
 
-    __slots__ = ("held_capacity", "offered", "peaks", "sent")
+    __slots__ = ("held_capacity", "peaks", "sent")
 
     def __init__(self) -> None:
         #: Shares last sent to entries; servers that are not in it have no limit.
         self.sent: dict[str, float] = {}
-        #: Requests per second for the keys of a server.
-        self.offered: dict[str, SmoothedRate] = {}
         #: Capacity of the servers that are limited because of overload.
         self.held_capacity: dict[str, float] = {}
         #: Highest recent requests per second by pool.
@@ -81,7 +79,7 @@
 
     def retain(self, identities: set[str]) -> None:
         """Remove the state of servers that are not in ``identities``."""
-        for by_identity in (self.sent, self.offered, self.held_capacity):
+        for by_identity in (self.sent, self.held_capacity):
             for identity in by_identity.keys() - identities:
                 del by_identity[identity]
 
@@ -94,10 +92,7 @@
             if is_limited_cold:
                 return self.sent.get(server.identity, UNKNOWN_LOAD_SHARE)
             return None
-        smoothed = self.offered.get(server.identity)
-        if smoothed is None:
-            smoothed = self.offered[server.identity] = SmoothedRate(server.offered)
-        offered = smoothed.update(server.offered, traffic.window)
+        offered = server.offered
         limits: list[float] = []
         if is_limited_cold:
             assert traffic.warmup_rate is not None
@@ -118,7 +113,9 @@
             return None
         held = self.held_capacity.get(server.identity)
         if held is not None:
-            capacity = max(capacity, held * CAPACITY_DECAY_RATIO)
+            capacity = max(capacity, held / CAPACITY_STEP_RATIO)
+            if not server.is_queueing:
+                capacity = max(capacity, held * CAPACITY_STEP_RATIO)
             is_overloaded = offered >= OVERLOAD_END_RATIO * capacity
         else:
             is_overloaded = _is_overloaded(server, offered, capacity)
@@ -160,11 +157,13 @@
 
 
 def _is_overloaded(server: ServerTraffic, offered: float, capacity: float) -> bool:
-    if server.steady > OVERLOAD_RATIO * capacity and offered > capacity:
-        return True
-    excess_count = (offered - capacity) * EXCESS_SECONDS
-    return offered > OVERLOAD_RATIO * capacity and excess_count > MIN_DEVIATION_COUNT * math.sqrt(
-        capacity * EXCESS_SECONDS
+    return any(
+        load > OVERLOAD_RATIO * capacity
+        and (load - capacity) * seconds > MIN_DEVIATION_COUNT * math.sqrt(capacity * seconds)
+        for load, seconds in (
+            (offered, EXCESS_SECONDS),
+            (min(offered, server.steady), STEADY_SECONDS),
+        )
     )
 
 
--- a/packages/medlarpass/src/medlarpass/ranges/__init__.py
+++ b/packages/medlarpass/src/medlarpass/ranges/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from medlarpass.ranges.capacity_planner import CapacityPlanner
+from medlarpass.ranges.density_loads import DensityLoads
 from medlarpass.ranges.grant_expiry_tracker import GrantExpiryTracker
 from medlarpass.ranges.key_intervals import KeyIntervals
 from medlarpass.ranges.key_loads import KeyLoads
@@ -22,6 +24,8 @@
 
 __all__ = [
     "KEY_COUNT",
+    "CapacityPlanner",
+    "DensityLoads",
     "GrantExpiryTracker",
     "KeyIntervals",
     "KeyLoads",
--- a/packages/medlarpass/tests/capacity/test_server_admission.py
+++ b/packages/medlarpass/tests/capacity/test_server_admission.py
@@ -8,8 +8,6 @@
 from medlarpass.capacity import ServerAdmission
 from medlarpass.capacity import ServerTraffic
 
-WINDOW_SECONDS = 0.75
-
 
 def owned(
     offered: float,
@@ -18,11 +16,12 @@
     is_cold: bool = False,
     warmup_rate: float | None = None,
     is_known: bool = True,
+    is_queueing: bool = True,
 ) -> PoolTraffic:
     """Return a pool with one server that owns keys."""
     load = offered if steady is None else steady
-    server = ServerTraffic("a", 3, is_cold, capacity, offered, load)
-    return PoolTraffic("p", True, warmup_rate, [server], WINDOW_SECONDS, is_known=is_known)
+    server = ServerTraffic("a", 3, is_cold, capacity, offered, load, is_queueing)
+    return PoolTraffic("p", True, warmup_rate, [server], is_known=is_known)
 
 
 def without_owners(
@@ -31,7 +30,7 @@
     """Return a pool without owners."""
     servers = [ServerTraffic(f"c{number}", 3, True) for number in range(cold)]
     servers += [ServerTraffic(f"w{number}", 3, False) for number in range(warm)]
-    return PoolTraffic("p", False, warmup_rate, servers, WINDOW_SECONDS, demand, is_known)
+    return PoolTraffic("p", False, warmup_rate, servers, demand, is_known)
 
 
 def test_an_overloaded_server_gets_what_it_can_handle() -> None:
@@ -54,10 +53,9 @@
     admission = ServerAdmission()
     limited = 0
     for _ in range(2000):
-        count = sum(rng.random() < 0.09 for _ in range(75))
-        admission.update(owned(count / WINDOW_SECONDS, steady=9.0), limits_overload=True)
+        admission.update(owned(rng.gauss(9.0, 1.5), steady=9.0), limits_overload=True)
         limited += bool(admission.sent)
-    assert limited < 200
+    assert limited < 20
 
 
 def test_the_limit_ends_below_nine_tenths_of_the_capacity() -> None:
@@ -83,6 +81,16 @@
     assert admission.sent["a"] * 20.0 > 8.5
 
 
+def test_a_limit_grows_while_no_request_queues() -> None:
+    """Guards against a server that stays limited to the few requests that it still completes."""
+    admission = ServerAdmission()
+    admission.update(owned(20.0, capacity=10.0), limits_overload=True)
+    for _ in range(40):
+        completed = admission.sent.get("a", 1.0) * 11.0
+        admission.update(owned(11.0, capacity=completed, is_queueing=False), limits_overload=True)
+    assert not admission.sent
+
+
 def test_a_server_of_unknown_capacity_is_not_limited() -> None:
     """Guards against refusals for a server that has just joined."""
     admission = ServerAdmission()
@@ -120,12 +128,15 @@
 
 
 def test_small_changes_are_not_sent() -> None:
-    """Guards against a message to all entries at each decision, four times a second."""
+    """Guards against a message to all entries at each decision, four times a second.
+
+    The rate of a pool of 500 requests a second varies by 5%.
+    """
     rng = random.Random(5)
     admission = ServerAdmission()
     changes = sum(
         admission.update(
-            owned(rng.gauss(100.0, 11.0), steady=100.0, is_cold=True, warmup_rate=4.0),
+            owned(rng.gauss(100.0, 5.0), steady=100.0, is_cold=True, warmup_rate=4.0),
             limits_overload=False,
         )
         for _ in range(200)
--- a/packages/medlarpass/tests/capacity/test_server_capacity.py
+++ b/packages/medlarpass/tests/capacity/test_server_capacity.py
@@ -70,3 +70,29 @@
     assert capacity.rate_of("a", 3) is None
     assert not capacity.all_times.sums
     assert not capacity.unqueued_times.sums
+
+
+def test_a_burst_does_not_lower_the_estimate() -> None:
+    """Guards against a limit far below what a server can do, a second after its load has doubled."""
+    capacity = ServerCapacity()
+    feed(capacity, rate=6, mean_seconds=0.3)
+    for mean in (0.5, 0.9, 1.3, 1.4):
+        assert capacity.rate_of("a", 3) is not None
+        capacity.add("a", 5, 5 * mean)
+        capacity.apply_decay()
+    rate = capacity.rate_of("a", 3)
+    assert rate is not None
+    assert rate >= 7.0
+
+
+def test_an_idle_server_is_not_judged_by_its_busy_time() -> None:
+    """Guards against a limit for a server whose hot key has ended, by responses that queued."""
+    capacity = ServerCapacity()
+    for _ in range(40):
+        capacity.rate_of("a", 3)
+        capacity.add("a", 6, 6 * 1.3)
+        capacity.apply_decay()
+    assert capacity.rate_of("a", 3) == pytest.approx(10.8, rel=0.1)
+    for _ in range(5):
+        capacity.apply_decay()
+    assert capacity.rate_of("a", 3) is None
