--- a/packages/medlarpass/src/medlarpass/capacity/__init__.py
+++ b/packages/medlarpass/src/medlarpass/capacity/__init__.py
@@ -6,6 +6,8 @@
 from medlarpass.capacity.demand_rates import DemandRates
 from medlarpass.capacity.demand_rates import counted_seconds
 from medlarpass.capacity.peak_rate import PeakRate
+from medlarpass.capacity.planner_weights import CapacityWeights
+from medlarpass.capacity.planner_weights import limit_cold_weights
 from medlarpass.capacity.pool_admission import PoolAdmission
 from medlarpass.capacity.pool_traffic import PoolTraffic
 from medlarpass.capacity.pool_traffic import ServerTraffic
@@ -14,6 +16,7 @@
 from medlarpass.capacity.server_capacity import ServerCapacity
 
 __all__ = [
+    "CapacityWeights",
     "ColdTime",
     "DemandRates",
     "PeakRate",
@@ -24,4 +27,5 @@
     "ServerCapacity",
     "ServerTraffic",
     "counted_seconds",
+    "limit_cold_weights",
 ]
