--- a/packages/medlarpass/src/medlarpass/ranges/__init__.py
+++ b/packages/medlarpass/src/medlarpass/ranges/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from medlarpass.ranges.capacity_planner import CapacityPlanner
+from medlarpass.ranges.density_loads import DensityLoads
 from medlarpass.ranges.evacuation_pace import move_allowance
 from medlarpass.ranges.evacuation_pace import select_moves
 from medlarpass.ranges.evacuation_planner import plan_evacuation
@@ -25,6 +27,8 @@
 
 __all__ = [
     "KEY_COUNT",
+    "CapacityPlanner",
+    "DensityLoads",
     "GrantExpiryTracker",
     "KeyIntervals",
     "KeyLoads",
