--- a/packages/medlarpass-daemon/tests/control/fleet/test_server_limits.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_server_limits.py
@@ -18,6 +18,7 @@
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet.fleet_feed import WatchCursor
+from medlarpass_daemon.control.fleet.range_keeper import RangeKeeper
 from medlarpass_daemon.entry.callers import NoOwnerError
 from medlarpass_daemon.entry.callers.exceptions import ServerColdError
 from medlarpass_daemon.entry.callers.exceptions import ServerOverloadedError
@@ -220,16 +221,29 @@
         )
 
 
-@pytest.mark.parametrize("pool", [OWNED_POOL, OPEN_POOL])
+@pytest.mark.parametrize(
+    ("pool", "moves_keys"),
+    [(OWNED_POOL, True), (OWNED_POOL, False), (OPEN_POOL, True)],
+    ids=["owned", "owned and stuck", "open"],
+)
 @pytest.mark.parametrize("entry_count", [1, 75, 300])
 async def test_all_entries_together_stay_within_the_rate_of_a_cold_server(
-    new_simulation: Any, pool: str, entry_count: int
+    new_simulation: Any,
+    monkeypatch: pytest.MonkeyPatch,
+    pool: str,
+    moves_keys: bool,
+    entry_count: int,
 ) -> None:
     """Guards against a cold server that gets more than 1.5 times its rate and 8 in a second.
 
     The demand of 160 requests a second grows by a half and doubles, entries start while the server
-    is cold, and a tenth of them is cut off.
+    is cold, and a tenth of them is cut off. The keys of the server move away, or stay because they
+    can't be released.
     """
+    if not moves_keys:
+        monkeypatch.setattr(
+            RangeKeeper, "_limit_cold", lambda self, pool, servers, weights: weights
+        )
     fleet = ColdFleet(new_simulation(SERVER_COUNT, seed=entry_count), pool, entry_count, 7)
     await fleet.run(8.0)
     name = "s3" if fleet.pool.owned else "os3"
