--- a/packages/medlarpass/tests/capacity/test_server_capacity.py
+++ b/packages/medlarpass/tests/capacity/test_server_capacity.py
@@ -73,7 +73,7 @@
 
 
 def test_a_burst_does_not_lower_the_estimate() -> None:
-    """Guards against a limit far below what a server can do, a second after its load has doubled."""
+    """Guards against a limit far below what a server can do, just after its load has doubled."""
     capacity = ServerCapacity()
     feed(capacity, rate=6, mean_seconds=0.3)
     for mean in (0.5, 0.9, 1.3, 1.4):
--- a/tools/soak/stand_in_server.py
+++ b/tools/soak/stand_in_server.py
@@ -87,6 +87,8 @@
         self.received_fences: list[tuple[int, int, int]] = []
         self.executed_requests: list[str] = []
         self.delay = 0.0
+        #: Time on the monotonic clock until which heartbeats say that the server is cold.
+        self.cold_until = 0.0
         #: Whether its responses say that it leaves, and the pause that it asks for when refusing.
         self.says_leaving = False
         self.pause = ""
@@ -163,7 +165,7 @@
             "version": "v1",
             "slots": 3,
             "state": self.state,
-            "slow_start_s_time": 0,
+            "slow_start_s_time": max(self.cold_until - time.monotonic(), 0.0),
             "sequence": self.sequence,
             "born": self.incarnation,
         }
