--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -6,6 +6,8 @@
 
 from typing import TYPE_CHECKING
 
+from medlarpass.capacity import limit_cold_weights
+from medlarpass.ranges import CapacityPlanner
 from medlarpass.ranges import KeyIntervals
 from medlarpass.ranges import PlannerServer
 from medlarpass.ranges import RangeAssignment
@@ -27,6 +29,7 @@
     from medlarpass.fleet import ServerHeartbeat
     from medlarpass_daemon.control.fleet.fleet_state import FleetState
     from medlarpass_daemon.control.fleet.server_calls import ServerCalls
+    from medlarpass_daemon.control.fleet.traffic_planner import TrafficPlanner
     from medlarpass_daemon.control.replica_log import ReplicaLog
     from medlarpass_daemon.settings import FleetSettings
 
@@ -75,6 +78,7 @@
         "log",
         "moves",
         "settings",
+        "traffic_planner",
     )
 
     def __init__(
@@ -96,7 +100,10 @@
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
         self.admission = PoolAdmissionPlanner(fleet, settings)
+        #: Decides on the traffic of all pools; set by the role.
+        self.traffic_planner: TrafficPlanner | None = None
         self.evacuations = EvacuationMoves(fleet, self.grants, self.moves, clock)
+        fleet.limits.ranges_after_moves = self.moves.ranges_after_moves
         self.leading_since = 0.0
         #: Highest number of servers seen in a pool without owners, and when it was reached.
         self.join_progress: dict[str, tuple[int, float]] = {}
@@ -122,6 +129,8 @@
         self.lease.start_term()
         self.fleet.start_term(self.lease.term)
         self.grants.start_term()
+        if self.traffic_planner is not None:
+            self.traffic_planner.start_term()
         self.evacuations.start_term()
 
     async def step(self) -> None:
@@ -157,6 +166,8 @@
             for task in running:
                 task.cancel()
             self.fleet.end_term()
+            if self.traffic_planner is not None:
+                self.traffic_planner.end_term()
             self.moves.stop()
             self.grants.stop()
             events.KEEPER_STOPPED.log(term=self.lease.term)
@@ -173,6 +184,8 @@
             self.fleet.update_weights()
             if self.settings.pool_admission:
                 self.admission.apply()
+            if self.traffic_planner is not None:
+                self.traffic_planner.update()
 
     async def _reconcile_pool(self, pool: str) -> None:
         assigned = self.fleet.state.ranges.pools.get(pool, [])
@@ -196,9 +209,14 @@
             return
         if self.is_balance_due and self._has_load_reports():
             loads = self.fleet.loads_of(pool)
-            for part in plan_rebalancing(
-                pool, loads, self.moves.ranges_after_moves(pool, assigned), servers
-            ):
+            planned = self.moves.ranges_after_moves(pool, assigned)
+            if self.settings.capacity_planning:
+                moves = CapacityPlanner(pool, self.fleet.limits.density_of(pool)).plan_moves(
+                    planned, servers
+                )
+            else:
+                moves = plan_rebalancing(pool, loads, planned, servers)
+            for part in moves:
                 self.moves.start(assigned, part)
 
     def _have_servers_joined(self, pool: str, servers: int) -> bool:
@@ -223,12 +241,38 @@
             for member in self.fleet.assignable(pool)
             if not self.fleet.directory.is_replaced(member) and not self._is_unavailable(member)
         ]
+        weights = self._limit_cold(pool, heartbeats, self._weights(heartbeats))
+        return [
+            PlannerServer(heartbeat.identity, heartbeat.incarnation, weight)
+            for heartbeat, weight in zip(heartbeats, weights, strict=True)
+        ]
+
+    def _weights(self, heartbeats: list[ServerHeartbeat]) -> list[float]:
+        if self.settings.capacity_planning:
+            slots = {heartbeat.identity: heartbeat.slots for heartbeat in heartbeats}
+            factors = self.fleet.limits.weights.weights(slots)
+            return [
+                factor * _warmup_ratio(heartbeat)
+                for heartbeat, factor in zip(heartbeats, factors, strict=True)
+            ]
         factors = self.fleet.speeds.weight_factors([heartbeat.identity for heartbeat in heartbeats])
         return [
-            PlannerServer(heartbeat.identity, heartbeat.incarnation, _weight(heartbeat) * factor)
+            heartbeat.slots * _warmup_ratio(heartbeat) * factor
             for heartbeat, factor in zip(heartbeats, factors, strict=True)
         ]
 
+    def _limit_cold(
+        self, pool: str, heartbeats: list[ServerHeartbeat], weights: list[float]
+    ) -> list[float]:
+        """Return the weights with those of cold servers reduced to the published rate."""
+        publication = self.fleet.publication
+        published = publication.pools.get(pool) if publication is not None else None
+        is_cold = [heartbeat.warmup_seconds > 0 for heartbeat in heartbeats]
+        if published is None or published.warmup_rate is None or not any(is_cold):
+            return weights
+        demand = self.fleet.limits.steady_demand(pool)
+        return limit_cold_weights(weights, is_cold, published.warmup_rate, demand)
+
     def _is_unavailable(self, member: FleetMember) -> bool:
         since_heartbeat = self.clock.now() - member.seen_at
         return (
@@ -297,5 +341,5 @@
         )
 
 
-def _weight(heartbeat: ServerHeartbeat) -> float:
-    return heartbeat.slots * (WARMUP_WEIGHT_RATIO if heartbeat.warmup_seconds else 1.0)
+def _warmup_ratio(heartbeat: ServerHeartbeat) -> float:
+    return WARMUP_WEIGHT_RATIO if heartbeat.warmup_seconds else 1.0
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_selector.py
@@ -20,6 +20,7 @@
 from medlarpass.dispatch import NoServerError
 from medlarpass.dispatch import ReportedLoads
 from medlarpass.dispatch import SharedServerLimiter
+from medlarpass.dispatch import SubsetBalancer
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.exceptions import ServersBusyError
 from medlarpass_daemon.entry.callers.exceptions import ServersLeavingError
@@ -102,11 +103,13 @@
         "latency_totals",
         "limiters",
         "loop_lag",
+        "many_entries_choices",
         "max_pause_wait",
         "max_wait",
         "notices",
         "paused_until",
         "reported_loads",
+        "sharing_entries",
         "waiting",
     )
 
@@ -122,7 +125,7 @@
         self.max_wait = max_wait
         self.notices = notices or ServerNotices(clock, math.inf)
         self.max_pause_wait = max_pause_wait
-        self.balancer = Balancer(BalancerSettings(), clock, random.Random())
+        self.balancer: Balancer = Balancer(BalancerSettings(), clock, random.Random())
         # The balancer only calls in_flight().
         self.balancer.peers = cast("PeerReports", peer_loads)
         self.ejector = Ejector(EjectorSettings(), clock)
@@ -130,6 +133,10 @@
         self.loop_lag = LoopLag(clock)
         #: Number of entries that send to the servers, 0 while unknown.
         self.entry_count = 0
+        #: Number of entries that prefer a server, by identity; the others count as used by all.
+        self.sharing_entries: dict[str, float] = {}
+        #: Number of servers that are compared for a request if there are many entries.
+        self.many_entries_choices = MANY_ENTRIES_CHOICE_COUNT
         #: Response count and sum of latencies in seconds since the last report, by identity; then
         #: both for the responses of servers that reported an empty queue.
         self.latency_totals: dict[str, tuple[int, float, int, float]] = {}
@@ -147,9 +154,16 @@
         self.entry_count = entry_count
         default_choices = BalancerSettings().choices
         self.balancer.settings.choices = (
-            MANY_ENTRIES_CHOICE_COUNT if entry_count >= MANY_ENTRIES_COUNT else default_choices
+            self.many_entries_choices if entry_count >= MANY_ENTRIES_COUNT else default_choices
         )
 
+    def use_subset_balancer(self) -> None:
+        """Choose among a subset of the servers; called before the first request."""
+        peers = self.balancer.peers
+        self.balancer = SubsetBalancer(BalancerSettings(), self.clock, random.Random())
+        self.balancer.peers = peers
+        self.set_entry_count(self.entry_count)
+
     async def acquire(
         self,
         candidates: Callable[[], Sequence[Target]],
@@ -213,6 +227,24 @@
         ]
         return local or targets
 
+    def accepts_attempt(self, target: Target, tried: Set[str]) -> bool:
+        """Return whether a server would most likely accept an attempt of this entry now.
+
+        :param tried: identities of servers used by earlier attempts
+        """
+        identity = target.identity
+        load = self.balancer.loads.get(identity)
+        return (
+            identity not in tried
+            and not self.ejector.is_ejected(identity)
+            and not self.notices.is_leaving(target)
+            and self.notices.accepts(target)
+            and not self.is_unresponsive(identity)
+            and not self.is_backing_off(target)
+            and (load is None or load.backoff_until <= self.clock.now())
+            and self._has_capacity(target)
+        )
+
     def can_take(self, target: Target) -> bool:
         """Return whether a server would get a request at once."""
         return (
@@ -369,6 +401,7 @@
         self.connection_backoffs.pop(identity, None)
         self.last_response_at.pop(identity, None)
         self.ejector.forget(identity)
+        self.sharing_entries.pop(identity, None)
         self.reported_loads.forget(identity)
         limiter = self.limiters.get(identity)
         if limiter is not None and not limiter.in_flight:
@@ -461,8 +494,9 @@
             limiter.slots = target.slots
             limiter.limit = min(limiter.limit, float(target.slots))
         if self.entry_count:
+            entries = self.sharing_entries.get(target.identity, self.entry_count)
             limiter.min_limit = min(
-                target.slots * MIN_REQUESTS_PER_SLOT_RATIO / self.entry_count, float(target.slots)
+                target.slots * MIN_REQUESTS_PER_SLOT_RATIO / entries, float(target.slots)
             )
             limiter.limit = max(limiter.limit, limiter.min_limit)
         return limiter
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -9,6 +9,7 @@
 from medlarpass.dispatch import DemandCounter
 from medlarpass.ranges import KeyLoads
 from medlarpass_daemon.entry.callers import CallersServer
+from medlarpass_daemon.entry.callers.domain_router import DomainRouter
 from medlarpass_daemon.entry.callers.metrics import CallersMetrics
 from medlarpass_daemon.entry.callers.owner_queue import OwnerQueue
 from medlarpass_daemon.entry.callers.owner_turns import OwnerTurns
@@ -117,6 +118,16 @@
             demands,
         )
         self.traffic = TrafficView(clock)
+        if settings.fleet.domain_routing:
+            context = self.callers.context
+            context.domain_router = DomainRouter(
+                settings.name,
+                settings.domain,
+                self.traffic.shares_of,
+                context.server_selector,
+                clock,
+                context.metrics,
+            )
         if settings.fleet.pool_admission:
             context = self.callers.context
             context.pool_gate = PoolGate(self.traffic, clock, context.metrics, context.dialect)
