Keep statuses that are not final from callers

Cause: a response of a server with the status 000, 099, 101, 600 or 999 reached the caller with that status, and a header in it could count the request as not run.

Change: such a response raises InvalidStatusError (code invalid_status, 502, outcome unknown), before anything else in it is read, and its connection is closed. Idempotent requests are sent again like after a lost response. An unasked 101 stays an answer_lost, as an existing test requires.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -159,6 +159,12 @@
     outcome = Outcome.UNKNOWN
 
 
+class InvalidStatusError(AnswerLostError):
+    """The response has a status that is not a final response to the request."""
+
+    code = "invalid_status"
+
+
 class CrossedAnswerError(AnswerLostError):
     """The response carries the id of another request."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
@@ -17,6 +17,7 @@
 from medlarpass_daemon.entry.callers.exceptions import CrossedAnswerError
 from medlarpass_daemon.entry.callers.exceptions import DeadlineExceededError
 from medlarpass_daemon.entry.callers.exceptions import DeadlineOutcomeUnknownError
+from medlarpass_daemon.entry.callers.exceptions import InvalidStatusError
 from medlarpass_daemon.entry.callers.exceptions import ServerRefusedError
 from medlarpass_daemon.entry.callers.exceptions import ServerUnreachableError
 from medlarpass_daemon.entry.callers.server_request import ServerRequest
@@ -38,6 +39,10 @@
 #: connection during a write leaves an order with an unknown outcome.
 KEEPALIVE_SECONDS = 4.0
 BODYLESS_STATUSES = frozenset({204, 304})
+#: Statuses of final responses in RFC 9110, section 15. aiohttp skips informational responses except
+#: 101, which answers a request for another protocol; the entry never sends one.
+FINAL_STATUSES = range(200, 600)
+SWITCHING_PROTOCOLS_STATUS = 101
 
 
 class ServerClient:
@@ -75,6 +80,7 @@
         :raises DeadlineExceededError: the deadline passed before a byte was sent; not run
         :raises DeadlineOutcomeUnknownError: the deadline passed later; unknown
         :raises AnswerLostError: no complete headers arrived; unknown
+        :raises InvalidStatusError: the status is not one of a final response; unknown
         :raises CrossedAnswerError: the response belongs to another request; unknown
         """
         if exchange.remaining <= 0:
@@ -133,6 +139,13 @@
         """
         protocol = exchange.protocol
         assert protocol is not None
+        if response.status not in FINAL_STATUSES:
+            # Whatever else the response says is not trusted, such as that the request was not run.
+            response.close()
+            protocol.force_close()
+            if response.status == SWITCHING_PROTOCOLS_STATUS:
+                raise AnswerLostError("the server changed protocols without being asked")
+            raise InvalidStatusError(f"the response has the status {response.status:03}")
         dialect = exchange.dialect
         has_id = dialect.has_request_id(response.headers)
         if not has_id and dialect.servers_echo_ids and protocol.exchange_count > 1:
