Bound what callers can use of each HTTP port

Cause: after an error aiohttp's protocol passes everything that arrives to the parser and queues an error with a copy of the bytes for each part; it skips empty lines without end, limits lines but not heads, and has no limit of time for a head. So memory grew with requests that never end, and empty lines used the processor.

Change: medlarpass_daemon.request_bounds puts a reader in front of the parser, for the ports of callers, readiness, control, operators and servers. It limits empty lines, heads (bytes, fields, time), waiting pipelined requests, bytes around chunks, bodies that nobody reads, responses that nobody reads, connections of each port, and the bytes that all connections hold. Section limits and setting memory, which is checked at the start; metrics by reason; events 1100 (at most one line in 10 s for a reason) and 1101. Faults of callers are no longer written to the standard error. The adapter's control_listener gets the bounds as a third argument.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/adapter.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/adapter.py
@@ -13,6 +13,7 @@
     from medlarpass_daemon.control.fleet.fleet_operations import FleetOperations
     from medlarpass_daemon.control.fleet.server_calls import ServerCalls
     from medlarpass_daemon.entry.callers.dialect import Dialect
+    from medlarpass_daemon.request_bounds import ProcessBounds
     from medlarpass_daemon.settings import DaemonSettings
 
 
@@ -36,7 +37,9 @@
         """Headers and error responses used between callers, entries and servers."""
         ...
 
-    def control_listener(self, settings: DaemonSettings, operations: FleetOperations) -> Listener:
+    def control_listener(
+        self, settings: DaemonSettings, operations: FleetOperations, bounds: ProcessBounds
+    ) -> Listener:
         """Return the listener of control for servers and operators."""
         ...
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/application.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/application.py
@@ -22,6 +22,8 @@
 from medlarpass_daemon.observability import PlatformServer
 from medlarpass_daemon.observability import Readiness
 from medlarpass_daemon.observability.readiness import STARTING
+from medlarpass_daemon.request_bounds import ProcessBounds
+from medlarpass_daemon.request_bounds import RequestBoundsMetrics
 from medlarpass_daemon.rpc_channels import RpcChannels
 from medlarpass_daemon.rpc_server import RpcServer
 from medlarpass_daemon.seeds import Seeds
@@ -47,6 +49,7 @@
     """
 
     __slots__ = (
+        "bounds",
         "channels",
         "clock",
         "control",
@@ -71,7 +74,10 @@
         self.metrics = Metrics()
         self.readiness = Readiness()
         self.metrics.ready.set_function(lambda: float(self.readiness.is_ready))
-        self.platform = PlatformServer(settings, self.readiness, self.metrics.registry)
+        self.bounds = ProcessBounds(
+            settings.limits, settings.descriptors, RequestBoundsMetrics(self.metrics.registry)
+        )
+        self.platform = PlatformServer(settings, self.readiness, self.metrics.registry, self.bounds)
         self.log_writer = LogWriter(
             settings.log_file, self.metrics.log_lines_dropped.inc, settings.log_rate
         )
@@ -116,6 +122,7 @@
                 self.metrics,
                 self.clock,
                 self.seeds,
+                self.bounds,
             )
             self.control.add_services(self.rpc.server)
         if self.settings.entry:
@@ -133,7 +140,13 @@
     def _create_entry_role(self, entry: EntrySettings) -> EntryRole | FleetEntryRole:
         if self.settings.fleet is None:
             return EntryRole(
-                self.settings, entry, self.channels, self.readiness, self.metrics, self.clock
+                self.settings,
+                entry,
+                self.channels,
+                self.readiness,
+                self.metrics,
+                self.clock,
+                self.bounds,
             )
         return FleetEntryRole(
             self.settings,
@@ -143,6 +156,7 @@
             self.metrics,
             self.clock,
             self.seeds,
+            self.bounds,
         )
 
     async def _wait_for_signal_or_failure(self) -> int | None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/control_role.py
@@ -40,6 +40,7 @@
     from medlarpass_daemon.adapter import Listener
     from medlarpass_daemon.control.fleet.server_calls import ServerCalls
     from medlarpass_daemon.observability import Metrics
+    from medlarpass_daemon.request_bounds import ProcessBounds
     from medlarpass_daemon.rpc_channels import RpcChannels
     from medlarpass_daemon.seeds import Seeds
     from medlarpass_daemon.settings import ControlSettings
@@ -59,9 +60,11 @@
     :param metrics: metrics of the process
     :param clock: clock of this process
     :param seeds: initial addresses for discovering other replicas
+    :param bounds: bounds of the process
     """
 
     __slots__ = (
+        "bounds",
         "configuration_reports",
         "control",
         "delegator",
@@ -91,8 +94,10 @@
         metrics: Metrics,
         clock: Clock,
         seeds: Seeds,
+        bounds: ProcessBounds,
     ) -> None:
         self.settings = settings
+        self.bounds = bounds
         self.control = control
         self.seeds = seeds
         self.state = ControlState()
@@ -105,7 +110,7 @@
         self.poller = StatusPoller(self.replica, channels, metrics)
         self.loop_monitor = LoopMonitor(metrics, clock)
         backend = OperatorsBackend(self.log, self.poller, channels, clock)
-        self.operators_server = OperatorsServer(settings, backend, clock)
+        self.operators_server = OperatorsServer(settings, backend, clock, bounds)
         self.membership_manager: MembershipManager | None = None
         self.range_keeper: RangeKeeper | None = None
         self.listener: Listener | None = None
@@ -137,7 +142,7 @@
         self.feed_updater = FeedUpdater(self.settings, self.log, self.fleet, channels, clock)
         self.report_relay = ReportRelay(self.feed_updater, channels)
         self.listener = adapter.control_listener(
-            self.settings, FleetOperations(self.log, self.fleet, self.control)
+            self.settings, FleetOperations(self.log, self.fleet, self.control), self.bounds
         )
 
     def add_services(self, server: grpc.aio.Server) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/operators/server.py
@@ -20,6 +20,9 @@
 from medlarpass_daemon.control.operators.report_handlers import ReportHandlers
 from medlarpass_daemon.control.operators.table_handlers import TableHandlers
 from medlarpass_daemon.control.operators.token_file import TokenFile
+from medlarpass_daemon.request_bounds import BoundedAppRunner
+from medlarpass_daemon.request_bounds import ProcessBounds
+from medlarpass_daemon.settings.limits import OPERATORS
 
 if TYPE_CHECKING:
     from medlarpass import Clock
@@ -36,11 +39,16 @@
     :param settings: settings of the process, with the role control
     :param backend: access to the replicated log
     :param clock: clock for the durations in log events
+    :param bounds: bounds of the process
     :raises ValueError: when the settings lack the role control
     """
 
     def __init__(
-        self, settings: DaemonSettings, backend: ControlBackend, clock: Clock | None = None
+        self,
+        settings: DaemonSettings,
+        backend: ControlBackend,
+        clock: Clock | None = None,
+        bounds: ProcessBounds | None = None,
     ) -> None:
         if settings.control is None:
             raise ValueError("the operators' API requires the role control")
@@ -48,6 +56,7 @@
         self.listener = settings.control.operators
         self.backend = backend
         self.clock = clock or BootClock()
+        self.bounds = bounds or ProcessBounds()
         self.runner: web.AppRunner | None = None
 
     @property
@@ -69,12 +78,11 @@
         """
         tokens_path = self.settings.security.operator_tokens
         tokens = None if tokens_path is None else TokenFile(tokens_path)
-        runner = web.AppRunner(
+        runner = BoundedAppRunner(
             self._application(tokens),
-            access_log=None,
-            handle_signals=False,
+            self.bounds.create_port(OPERATORS),
             # A graceful shutdown waits for the requests in flight.
-            shutdown_timeout=max(self.settings.stop.finish_within, MIN_SHUTDOWN_SECONDS),
+            max(self.settings.stop.finish_within, MIN_SHUTDOWN_SECONDS),
         )
         await runner.setup()
         self.runner = runner
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_protocol.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_protocol.py
@@ -9,7 +9,11 @@
 
 from aiohttp import web
 
+from medlarpass import MedlarpassError
 from medlarpass_daemon.entry.callers.exceptions import CallerError
+from medlarpass_daemon.request_bounds import BoundedProtocol
+from medlarpass_daemon.request_bounds import RequestBoundError
+from medlarpass_daemon.request_bounds.exceptions import InvalidHttpError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -17,13 +21,10 @@
 
     from medlarpass.publication import CallerLimits
     from medlarpass_daemon.entry.callers.dialect import Dialect
+    from medlarpass_daemon.request_bounds import PortBounds
 
-#: Time for which an idle connection is kept. It is longer than the idle timeout of common load
-#: balancers, which would otherwise write to a connection that is being closed.
-KEEPALIVE_SECONDS = 120.0
 
-
-class CallersProtocol(web.RequestHandler):
+class CallersProtocol(BoundedProtocol):
     """Responds to requests that can't be parsed with the usual error response."""
 
     __slots__ = ("dialect",)
@@ -45,8 +46,10 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Return the response to a request that is not valid HTTP."""
-        error = CallerError("the request is not valid HTTP")
+        """Return the response to a request that is not valid HTTP or exceeds a bound."""
+        is_bound = isinstance(exc, RequestBoundError) and not isinstance(exc, InvalidHttpError)
+        error = exc if is_bound else CallerError("the request is not valid HTTP")
+        assert isinstance(error, MedlarpassError)
         response = self.dialect.error_response(error, self.dialect.request_id_of(request.headers))
         response.force_close()
         return response
@@ -58,6 +61,7 @@
     :param handler: handles a request
     :param read_buffer_bytes: bytes of a body that are read ahead
     :param dialect: headers and error responses of the deployment
+    :param port: bounds of the port
     """
 
     def __init__(
@@ -65,14 +69,15 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         read_buffer_bytes: int,
         dialect: Dialect,
+        port: PortBounds,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self.dialect = dialect
+        self.port = port
         self.options: dict[str, Any] = {
-            "access_log": None,
             "auto_decompress": False,
-            "keepalive_timeout": KEEPALIVE_SECONDS,
             "read_bufsize": read_buffer_bytes,
+            **port.limits.protocol_options(),
         }
 
     def protocols(self) -> list[CallersProtocol]:
@@ -83,12 +88,11 @@
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply limits to new connections."""
-        self.options["keepalive_timeout"] = limits.idle_seconds
-        self.options["max_line_size"] = limits.header_bytes
-        self.options["max_field_size"] = limits.header_bytes
+        self.port.apply_published(limits)
+        self.options |= self.port.limits.protocol_options()
 
     def __call__(self) -> CallersProtocol:
         """Return the protocol of a new connection."""
-        protocol = CallersProtocol(self, loop=asyncio.get_running_loop(), **self.options)
+        protocol = CallersProtocol(self.port, self, loop=asyncio.get_running_loop(), **self.options)
         protocol.dialect = self.dialect
         return protocol
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_server.py
@@ -28,6 +28,8 @@
 from medlarpass_daemon.entry.callers.request_context import RequestContext
 from medlarpass_daemon.entry.callers.request_reader import read_request
 from medlarpass_daemon.entry.callers.retry_after import retry_after_seconds
+from medlarpass_daemon.request_bounds import ProcessBounds
+from medlarpass_daemon.settings.limits import CALLERS
 
 if TYPE_CHECKING:
     from medlarpass import Clock
@@ -64,10 +66,12 @@
     :param clock: source of time; includes the time for which the system is suspended
     :param metrics: metrics of the request path; registered for the process by default
     :param dialect: headers and error responses of the deployment, medlarpass's own by default
+    :param bounds: bounds of the process
     """
 
     __slots__ = (
         "active_connections",
+        "bounds",
         "clock",
         "context",
         "in_flight",
@@ -89,11 +93,13 @@
         clock: Clock,
         metrics: CallersMetrics | None = None,
         dialect: Dialect | None = None,
+        bounds: ProcessBounds | None = None,
     ) -> None:
         if settings.entry is None:
             raise ValueError("the settings have no role entry")
         self.settings = settings.entry
         self.clock = clock
+        self.bounds = bounds or ProcessBounds()
         self.metrics = metrics or CallersMetrics()
         self.context = RequestContext(
             settings.entry,
@@ -124,7 +130,12 @@
     async def start(self) -> None:
         """Start accepting connections."""
         loop = asyncio.get_running_loop()
-        self.listener = CallersListener(self._handle, self.settings.buffer, self.context.dialect)
+        self.listener = CallersListener(
+            self._handle,
+            self.settings.buffer,
+            self.context.dialect,
+            self.bounds.create_port(CALLERS),
+        )
         address = self.settings.callers
         self.server = await loop.create_server(self.listener, address.ip, address.port)
         self.port = self.server.sockets[0].getsockname()[1]
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/entry_role.py
@@ -34,6 +34,7 @@
 from medlarpass_daemon.entry.peer_exchange import PeerExchange
 from medlarpass_daemon.entry.server_api import ServerApi
 from medlarpass_daemon.entry.server_gateway import ServerGateway
+from medlarpass_daemon.request_bounds import ProcessBounds
 from medlarpass_daemon.supervision import supervise
 
 if TYPE_CHECKING:
@@ -64,10 +65,12 @@
     :param readiness: reasons for which the entry is not ready for callers
     :param metrics: metrics of the process
     :param clock: clock of this process
+    :param bounds: bounds of the process
     """
 
     __slots__ = (
         "acceptor",
+        "bounds",
         "callers",
         "channels",
         "clock",
@@ -96,7 +99,9 @@
         readiness: Readiness,
         metrics: Metrics,
         clock: Clock,
+        bounds: ProcessBounds | None = None,
     ) -> None:
+        self.bounds = bounds or ProcessBounds()
         self.metrics = metrics
         self.settings = settings
         self.readiness = readiness
@@ -128,7 +133,7 @@
             self.exchange,
             channels,
         )
-        self.servers = ServerApi(settings, entry, gateway)
+        self.servers = ServerApi(settings, entry, gateway, self.bounds)
         self.tasks: list[asyncio.Task[None]] = []
 
     def add_services(self, server: grpc.aio.Server) -> None:
@@ -222,6 +227,7 @@
             self.loads,
             self.clock,
             CallersMetrics(self.metrics.registry),
+            bounds=self.bounds,
         )
 
     def _watcher(self, domain: str) -> DomainWatcher:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/fleet/fleet_entry_role.py
@@ -26,6 +26,7 @@
     from medlarpass_daemon.observability import Metrics
     from medlarpass_daemon.observability import Readiness
     from medlarpass_daemon.publication_parts import PublicationAssembler
+    from medlarpass_daemon.request_bounds import ProcessBounds
     from medlarpass_daemon.rpc_channels import RpcChannels
     from medlarpass_daemon.seeds import Seeds
     from medlarpass_daemon.settings import DaemonSettings
@@ -47,6 +48,7 @@
     :param metrics: metrics of the process
     :param clock: clock of this process
     :param seeds: initial addresses of control
+    :param bounds: bounds of the process
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         metrics: Metrics,
         clock: Clock,
         seeds: Seeds,
+        bounds: ProcessBounds,
     ) -> None:
         assert settings.fleet is not None
         self.settings = settings
@@ -89,6 +92,7 @@
             clock,
             CallersMetrics(metrics.registry),
             settings.fleet.load_adapter().dialect,
+            bounds,
         )
         self.callers.context.view_age = self.servers.view_age
         self.watcher = FleetWatcher(
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/server_api.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/server_api.py
@@ -13,11 +13,13 @@
 from medlarpass_daemon.entry.server_schema import parse_announcement
 from medlarpass_daemon.entry.server_schema import parse_heartbeat
 from medlarpass_daemon.http_listener import HttpListener
+from medlarpass_daemon.settings.limits import SERVERS
 
 if TYPE_CHECKING:
     from medlarpass.rpc import control_pb2
     from medlarpass.rpc import domain_pb2
     from medlarpass_daemon.entry.server_gateway import ServerGateway
+    from medlarpass_daemon.request_bounds import ProcessBounds
     from medlarpass_daemon.settings import DaemonSettings
     from medlarpass_daemon.settings import EntrySettings
 
@@ -31,12 +33,17 @@
     :param settings: settings of the process
     :param entry: settings of the role entry
     :param gateway: forwards them to the registry and the coordinator
+    :param bounds: bounds of the process
     """
 
     __slots__ = ("entry", "gateway", "listener", "settings")
 
     def __init__(
-        self, settings: DaemonSettings, entry: EntrySettings, gateway: ServerGateway
+        self,
+        settings: DaemonSettings,
+        entry: EntrySettings,
+        gateway: ServerGateway,
+        bounds: ProcessBounds | None = None,
     ) -> None:
         # Validated settings lack a listener for servers only if they have the section fleet.
         assert entry.servers is not None
@@ -46,7 +53,7 @@
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         application.router.add_post("/v1/servers/announce", self._announce)
         application.router.add_post("/v1/servers/heartbeat", self._heartbeat)
-        self.listener = HttpListener(application, entry.servers)
+        self.listener = HttpListener(application, entry.servers, SERVERS, bounds)
 
     async def start(self) -> None:
         """Listen and serve."""
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/http_listener.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/http_listener.py
@@ -7,6 +7,8 @@
 from aiohttp import web
 
 from medlarpass_daemon.exceptions import ListenError
+from medlarpass_daemon.request_bounds import BoundedAppRunner
+from medlarpass_daemon.request_bounds import ProcessBounds
 
 if TYPE_CHECKING:
     from medlarpass_daemon.settings import ListenerSettings
@@ -20,14 +22,21 @@
 
     :param application: application to serve
     :param settings: address to listen on
+    :param name: name of the port
+    :param bounds: bounds of the process
     """
 
     __slots__ = ("runner", "settings")
 
-    def __init__(self, application: web.Application, settings: ListenerSettings) -> None:
-        self.runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS
-        )
+    def __init__(
+        self,
+        application: web.Application,
+        settings: ListenerSettings,
+        name: str,
+        bounds: ProcessBounds | None = None,
+    ) -> None:
+        port = (bounds or ProcessBounds()).create_port(name)
+        self.runner = BoundedAppRunner(application, port, SHUTDOWN_TIMEOUT_SECONDS)
         self.settings = settings
 
     async def start(self) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/observability/platform_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/observability/platform_server.py
@@ -10,6 +10,9 @@
 
 from medlarpass_daemon.observability.events import PLATFORM_STARTED
 from medlarpass_daemon.observability.events import PLATFORM_STOPPED
+from medlarpass_daemon.request_bounds import BoundedAppRunner
+from medlarpass_daemon.request_bounds import ProcessBounds
+from medlarpass_daemon.settings.limits import PLATFORM
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
@@ -29,11 +32,17 @@
     :param settings: settings of the process
     :param readiness: readiness of the process
     :param registry: metrics of the process
+    :param bounds: bounds of the process
     """
 
     def __init__(
-        self, settings: DaemonSettings, readiness: Readiness, registry: CollectorRegistry
+        self,
+        settings: DaemonSettings,
+        readiness: Readiness,
+        registry: CollectorRegistry,
+        bounds: ProcessBounds | None = None,
     ) -> None:
+        self.bounds = bounds or ProcessBounds()
         self.listener = settings.platform
         self.readiness = readiness
         self.registry = registry
@@ -59,12 +68,8 @@
         application.router.add_get("/livez", self.handle_livez)
         application.router.add_get("/readyz", self.handle_readyz)
         application.router.add_get("/metrics", self.handle_metrics)
-        runner = web.AppRunner(
-            application,
-            access_log=None,
-            handle_signals=False,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
-        )
+        port = self.bounds.create_port(PLATFORM)
+        runner = BoundedAppRunner(application, port, SHUTDOWN_TIMEOUT_SECONDS)
         await runner.setup()
         self.runner = runner
         try:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/__init__.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/__init__.py
@@ -7,6 +7,7 @@
 from medlarpass_daemon.settings.entry import EntrySettings
 from medlarpass_daemon.settings.exceptions import SettingsError
 from medlarpass_daemon.settings.fleet import FleetSettings
+from medlarpass_daemon.settings.limits import LimitSettings
 from medlarpass_daemon.settings.listener import ListenerSettings
 from medlarpass_daemon.settings.loader import load_settings
 from medlarpass_daemon.settings.member import MemberSettings
@@ -19,6 +20,7 @@
     "DaemonSettings",
     "EntrySettings",
     "FleetSettings",
+    "LimitSettings",
     "ListenerSettings",
     "MemberSettings",
     "SecuritySettings",
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/daemon.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/daemon.py
@@ -9,6 +9,7 @@
 from medlarpass_daemon.settings.control import ControlSettings
 from medlarpass_daemon.settings.entry import EntrySettings
 from medlarpass_daemon.settings.fleet import FleetSettings
+from medlarpass_daemon.settings.limits import LimitSettings
 from medlarpass_daemon.settings.listener import ListenerSettings
 from medlarpass_daemon.settings.security import SecuritySettings
 from medlarpass_daemon.settings.stop import StopSettings
@@ -32,8 +33,10 @@
         "entry",
         "file",
         "fleet",
+        "limits",
         "log_file",
         "log_rate",
+        "memory",
         "name",
         "platform",
         "rpc",
@@ -60,6 +63,10 @@
         self.stop = StopSettings(document["stop"])
         #: File descriptors that the process may need; the soft limit is raised to this number.
         self.descriptors: int = document.get("descriptors", DEFAULT_DESCRIPTOR_COUNT)
+        #: Bounds on what callers can use of the process.
+        self.limits = LimitSettings(document.get("limits"))
+        #: Memory of the VM in bytes; None if it is not known.
+        self.memory: int | None = document.get("memory")
         #: Path of the log file, or ``-`` for standard output.
         self.log_file: str = document["log"]["file"]
         #: Maximum number of log lines written per second.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/loader.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/loader.py
@@ -10,6 +10,7 @@
 
 from medlarpass_daemon.settings.daemon import DaemonSettings
 from medlarpass_daemon.settings.exceptions import SettingsError
+from medlarpass_daemon.settings.limits_check import check_limits
 from medlarpass_daemon.settings.schema import SETTINGS_SCHEMA
 from medlarpass_daemon.settings.unique_key_loader import UniqueKeyLoader
 
@@ -27,6 +28,7 @@
     _check_sections(path, document)
     settings = DaemonSettings(document, path)
     _check_consistency(path, settings)
+    check_limits(path, settings)
     return settings
 
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -180,6 +180,20 @@
     vol.Optional("silent_after", default=3): count(1, 100),
 }
 
+LIMITS = {
+    vol.Optional("connections"): count(4, 1_000_000),
+    vol.Optional("connections_per_address", default=0): count(0, 1_000_000),
+    vol.Optional("head", default="16KiB"): size("1KiB", "1MiB"),
+    vol.Optional("fields", default=128): count(16, 10_000),
+    vol.Optional("empty_lines", default="1KiB"): size("2B", "64KiB"),
+    vol.Optional("head_time", default="10s"): duration("100ms", "10min"),
+    vol.Optional("idle_time", default="120s"): duration("1s", "1h"),
+    vol.Optional("pipelined", default=4): count(1, 32),
+    vol.Optional("unread_body", default="8MiB"): size("64KiB", "1GiB"),
+    vol.Optional("unread_time", default="30s"): duration("1s", "10min"),
+    vol.Optional("held", default="32MiB"): size("1MiB", "1GiB"),
+}
+
 SETTINGS_SCHEMA = vol.Schema(
     {
         vol.Required("name"): name,
@@ -195,6 +209,8 @@
         vol.Optional("entry"): ENTRY,
         vol.Optional("control"): CONTROL,
         vol.Optional("fleet"): FLEET,
+        vol.Optional("limits", default=dict): LIMITS,
+        vol.Optional("memory"): size("16MiB", "1024GiB"),
         vol.Optional("descriptors", default=4096): count(64, 10_000_000),
         vol.Optional("stop", default=dict): {
             vol.Optional("balancer_wait", default="0s"): duration("0s", "10min"),
--- a/tools/documents/rows.py
+++ b/tools/documents/rows.py
@@ -127,9 +127,11 @@
     """Return name and type of every metric of a process with both roles."""
     from medlarpass_daemon.entry.callers.metrics import CallersMetrics
     from medlarpass_daemon.observability import Metrics
+    from medlarpass_daemon.request_bounds import RequestBoundsMetrics
 
     registry = Metrics().registry
     CallersMetrics(registry)
+    RequestBoundsMetrics(registry)
     rows: Rows = {}
     for family in registry.collect():
         if family.name.startswith("medlarpass_"):
