Bound what is held for callers who do not read

Cause: each caller who does not read a response makes the entry hold up to 64 KiB that are written and what is read ahead from the server; only the sum over all connections bounded that.

Change: these bytes count in limits.held while a caller does not read, and above it the longest waiting such connection is closed first, before any other connection. The class of the reader is now called BoundedRequestProtocol, as another one has its former name. limits.unread_body is at least 1 MiB, since a part that arrives before a handler runs counts as dropped. Setting the time limit of the kernel does not fail on a connection that was reset.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_protocol.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_protocol.py
@@ -11,7 +11,7 @@
 
 from medlarpass import MedlarpassError
 from medlarpass_daemon.entry.callers.exceptions import CallerError
-from medlarpass_daemon.request_bounds import BoundedProtocol
+from medlarpass_daemon.request_bounds import BoundedRequestProtocol
 from medlarpass_daemon.request_bounds import RequestBoundError
 from medlarpass_daemon.request_bounds.exceptions import InvalidHttpError
 
@@ -24,7 +24,7 @@
     from medlarpass_daemon.request_bounds import PortBounds
 
 
-class CallersProtocol(BoundedProtocol):
+class CallersProtocol(BoundedRequestProtocol):
     """Responds to requests that can't be parsed with the usual error response."""
 
     __slots__ = ("dialect",)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/__init__.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from medlarpass_daemon.request_bounds.bounded_app_runner import BoundedAppRunner
-from medlarpass_daemon.request_bounds.bounded_protocol import BoundedProtocol
+from medlarpass_daemon.request_bounds.bounded_request_protocol import BoundedRequestProtocol
 from medlarpass_daemon.request_bounds.exceptions import RequestBoundError
 from medlarpass_daemon.request_bounds.metrics import RequestBoundsMetrics
 from medlarpass_daemon.request_bounds.port_bounds import PortBounds
@@ -11,7 +11,7 @@
 
 __all__ = [
     "BoundedAppRunner",
-    "BoundedProtocol",
+    "BoundedRequestProtocol",
     "PortBounds",
     "ProcessBounds",
     "RequestBoundError",
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/bounded_app_runner.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/bounded_app_runner.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from medlarpass_daemon.request_bounds.bounded_protocol import BoundedProtocol
+from medlarpass_daemon.request_bounds.bounded_request_protocol import BoundedRequestProtocol
 
 if TYPE_CHECKING:
     from medlarpass_daemon.request_bounds.port_bounds import PortBounds
@@ -28,9 +28,11 @@
         self.port = port
         self.options: dict[str, Any] = {"max_body": max_body, **port.limits.protocol_options()}
 
-    def __call__(self) -> BoundedProtocol:
+    def __call__(self) -> BoundedRequestProtocol:
         """Return the protocol of a new connection."""
-        return BoundedProtocol(self.port, self, loop=asyncio.get_running_loop(), **self.options)
+        return BoundedRequestProtocol(
+            self.port, self, loop=asyncio.get_running_loop(), **self.options
+        )
 
 
 class BoundedAppRunner(web.AppRunner):
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/bounded_protocol.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/bounded_request_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 
 from typing import TYPE_CHECKING
@@ -50,7 +51,7 @@
 )
 
 
-class BoundedProtocol(web.RequestHandler):
+class BoundedRequestProtocol(web.RequestHandler):
     """Passes the bytes of requests to the parser of aiohttp in bounded parts.
 
     The settings of aiohttp don't suffice. After an error its protocol still passes everything that
@@ -86,6 +87,7 @@
         "max_body",
         "payload",
         "port",
+        "unread_bytes",
         "write_timer",
     )
 
@@ -127,6 +129,8 @@
         self.held_bytes = 0
         self.is_refused = False
         self.write_timer: asyncio.TimerHandle | None = None
+        #: Bytes of a response that wait for the caller to read, with what is read ahead for them.
+        self.unread_bytes = 0
         #: The transport, also after the base class has closed it.
         self.connection: asyncio.Transport | None = None
 
@@ -149,7 +153,9 @@
         connection = transport.get_extra_info("socket")
         if connection is not None:
             milliseconds = round(self.limits.settings.unread_time * 1000)
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+            # The caller may have reset the connection already.
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release what the connection holds."""
@@ -367,20 +373,38 @@
         self.write_timer = self._loop.call_later(
             self.limits.settings.unread_time, self._on_write_timeout
         )
+        if self.connection is not None:
+            self.unread_bytes = self.connection.get_write_buffer_size()
+        if self.max_body is None:
+            # The stream of the server's response reads up to twice its limit ahead.
+            self.unread_bytes += 2 * self._read_bufsize
+        self.port.process.stalled[self] = None
+        self._update_held_bytes()
 
     def resume_writing(self) -> None:
         """Continue to write."""
         self._stop_write_timer()
         super().resume_writing()
+        self._update_held_bytes()
 
     def _on_write_timeout(self) -> None:
         self.write_timer = None
-        self._record_refusal("unread_response")
+        self.abort("unread_response")
+
+    def abort(self, reason: str) -> None:
+        """Close the connection without waiting for what was written.
+
+        :param reason: reason in metrics and log
+        """
+        self._record_refusal(reason)
+        self._stop_write_timer()
         self._stop()
         if self.connection is not None:
             self.connection.abort()
 
     def _stop_write_timer(self) -> None:
+        self.unread_bytes = 0
+        self.port.process.stalled.pop(self, None)
         if self.write_timer is not None:
             self.write_timer.cancel()
             self.write_timer = None
@@ -404,11 +428,13 @@
             self._count_held_bytes(0)
             return
         waiting = max(len(self._messages) - 1, 0) * self.limits.head_bytes
-        held_bytes = self.head_bytes + len(self.backlog) + waiting + self.body_bytes
+        received = self.head_bytes + len(self.backlog) + waiting + self.body_bytes
+        held_bytes = received + self.unread_bytes
         if held_bytes == self.held_bytes:
             return
         self._count_held_bytes(held_bytes)
-        if not self.port.may_hold(held_bytes):
+        self.port.process.abort_stalled()
+        if not self._force_close and not self.port.may_hold(held_bytes):
             self._record_refusal("held")
             self.abandon()
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/metrics.py
@@ -31,6 +31,6 @@
         )
         self.held_bytes = Gauge(
             "medlarpass_held_request_bytes",
-            "Bytes of requests that are incomplete or wait on their connection",
+            "Bytes of incomplete or waiting requests and of responses that are not read",
             registry=registry,
         )
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/port_bounds.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/port_bounds.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from medlarpass.publication import CallerLimits
-    from medlarpass_daemon.request_bounds.bounded_protocol import BoundedProtocol
+    from medlarpass_daemon.request_bounds.bounded_request_protocol import BoundedRequestProtocol
     from medlarpass_daemon.request_bounds.process_bounds import ProcessBounds
 
 #: Interval between two log lines for the same reason, so that callers can't fill the log.
@@ -45,9 +45,9 @@
         self.max_connections = max_connections
         self.limits = RequestLimits(process.settings)
         #: Open connections, with the address of the caller.
-        self.connections: dict[BoundedProtocol, str] = {}
+        self.connections: dict[BoundedRequestProtocol, str] = {}
         #: Open connections that have not completed the head of a request yet, oldest first.
-        self.unproven: dict[BoundedProtocol, None] = {}
+        self.unproven: dict[BoundedRequestProtocol, None] = {}
         self.addresses: Counter[str] = Counter()
         #: Time of the last log line and number of refusals since then, by reason.
         self.logged_at: dict[str, float] = {}
@@ -58,7 +58,7 @@
         """Apply the limits of a publication to new connections."""
         self.limits = RequestLimits(self.process.settings, published)
 
-    def admit(self, connection: BoundedProtocol, address: str) -> bool:
+    def admit(self, connection: BoundedRequestProtocol, address: str) -> bool:
         """Return whether a new connection is accepted; the caller closes it otherwise.
 
         When the port is full, the oldest connection without a complete head makes room: an ordinary
@@ -81,11 +81,11 @@
         self.addresses[address] += 1
         return True
 
-    def record_head(self, connection: BoundedProtocol) -> None:
+    def record_head(self, connection: BoundedRequestProtocol) -> None:
         """Record that a connection has completed a head."""
         self.unproven.pop(connection, None)
 
-    def remove(self, connection: BoundedProtocol) -> None:
+    def remove(self, connection: BoundedRequestProtocol) -> None:
         """Remove a connection; does nothing if it is not known."""
         address = self.connections.pop(connection, None)
         if address is None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/process_bounds.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/request_bounds/process_bounds.py
@@ -4,12 +4,17 @@
 
 import resource
 
+from typing import TYPE_CHECKING
+
 from medlarpass_daemon.request_bounds.events import PORT_BOUNDED
 from medlarpass_daemon.request_bounds.metrics import RequestBoundsMetrics
 from medlarpass_daemon.request_bounds.port_bounds import PortBounds
 from medlarpass_daemon.settings import LimitSettings
 from medlarpass_daemon.settings.daemon import DEFAULT_DESCRIPTOR_COUNT
 
+if TYPE_CHECKING:
+    from medlarpass_daemon.request_bounds.bounded_request_protocol import BoundedRequestProtocol
+
 
 class ProcessBounds:
     """Creates the bounds of each port, and counts the bytes that all of them hold.
@@ -19,7 +24,7 @@
     :param metrics: metrics of the bounds
     """
 
-    __slots__ = ("descriptors", "held_bytes", "metrics", "settings")
+    __slots__ = ("descriptors", "held_bytes", "metrics", "settings", "stalled")
 
     def __init__(
         self,
@@ -30,8 +35,10 @@
         self.settings = settings or LimitSettings()
         self.descriptors = descriptors
         self.metrics = metrics or RequestBoundsMetrics()
-        #: Bytes of requests that are incomplete or wait, on all connections.
+        #: Bytes of incomplete or waiting requests and of unread responses, on all connections.
         self.held_bytes = 0
+        #: Connections whose caller does not read a response now, the longest waiting first.
+        self.stalled: dict[BoundedRequestProtocol, None] = {}
         self.metrics.held_bytes.set_function(lambda: self.held_bytes)
 
     def create_port(self, name: str) -> PortBounds:
@@ -43,6 +50,14 @@
         PORT_BOUNDED.log(port=name, connections=port.max_connections, held_bytes=self.settings.held)
         return port
 
+    def abort_stalled(self) -> None:
+        """Close connections whose caller does not read, until the total is below its bound.
+
+        The longest waiting are closed first: an ordinary caller continues to read soon.
+        """
+        while self.stalled and self.held_bytes > self.settings.held:
+            next(iter(self.stalled)).abort("held")
+
     def max_connections(self, name: str) -> int:
         """Return how many connections a port accepts."""
         available = self.descriptors
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/limits.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/limits.py
@@ -66,7 +66,8 @@
         self.unread_body: int = given.get("unread_body", 8 << 20)
         #: Time after which a connection that takes no byte of a response is closed.
         self.unread_time: float = given.get("unread_time", 30.0)
-        #: Most bytes of incomplete or waiting requests that all connections hold together.
+        #: Most bytes of incomplete or waiting requests, and of responses that are not read, on all
+        #: connections together.
         self.held: int = given.get("held", 32 << 20)
 
     def max_connections(self, port: str, descriptors: int) -> int:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -189,7 +189,7 @@
     vol.Optional("head_time", default="10s"): duration("100ms", "10min"),
     vol.Optional("idle_time", default="120s"): duration("1s", "1h"),
     vol.Optional("pipelined", default=4): count(1, 32),
-    vol.Optional("unread_body", default="8MiB"): size("64KiB", "1GiB"),
+    vol.Optional("unread_body", default="8MiB"): size("1MiB", "1GiB"),
     vol.Optional("unread_time", default="30s"): duration("1s", "10min"),
     vol.Optional("held", default="32MiB"): size("1MiB", "1GiB"),
 }
--- a/packages/medlarpass-daemon/tests/request_bounds/test_bounded_protocol.py
+++ b/packages/medlarpass-daemon/tests/request_bounds/test_bounded_request_protocol.py
@@ -15,7 +15,7 @@
 from medlarpass_daemon.request_bounds import BoundedAppRunner
 from medlarpass_daemon.request_bounds import ProcessBounds
 from medlarpass_daemon.request_bounds import port_bounds
-from medlarpass_daemon.request_bounds.bounded_protocol import MAX_FRAMING_BYTES
+from medlarpass_daemon.request_bounds.bounded_request_protocol import MAX_FRAMING_BYTES
 from medlarpass_daemon.settings import LimitSettings
 from medlarpass_daemon.settings.limits import CALLERS
 
