Test that hundreds of connections of one address are served

Cause: a load balancer may forward all callers from one address, and no test guards the defaults against limits that it would meet.

Change: 400 connections of one address each send two requests.

--- a/packages/medlarpass-daemon/tests/request_bounds/test_bounded_request_protocol.py
+++ b/packages/medlarpass-daemon/tests/request_bounds/test_bounded_request_protocol.py
@@ -338,6 +338,20 @@
         assert status_of(await reader.readuntil(b"\r\n\r\n-")) == 200
 
 
+async def test_hundreds_of_connections_of_one_address_are_served_by_default(ports: Any) -> None:
+    """Guards against limits that a load balancer in front of all callers meets."""
+    port = await ports()
+    connections = [await port.connect() for _ in range(400)]
+    for _ in range(2):
+        for _, writer in connections:
+            writer.write(POST)
+        for reader, _ in connections:
+            assert status_of(await reader.readuntil(b"hello")) == 200
+    assert len(port.register.connections) == 400
+    for _, writer in connections:
+        writer.close()
+
+
 async def test_connections_of_one_address_are_limited_if_asked_for(ports: Any) -> None:
     """Guards against one address that uses all connections, and a count that is never lowered."""
     port = await ports(connections_per_address=2)
