Assign no keys to cold servers while most servers are warm

Change: pools with a warm-up rate assign keys to warm servers only, if at least half of them are warm. A server becomes warm after its start without requests.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -47,6 +47,9 @@
 #: Time for which a new leader collects reports before it checks the balance. Without reports all
 #: keys seem equally loaded, and busy servers would get more keys.
 LOAD_REPORTS_WAIT_SECONDS = 2.0
+#: Ratio of the servers of a pool that must be warm for cold ones to get no keys. With fewer, the
+#: keys of many servers that were lost together would overload the rest.
+MIN_WARM_RATIO = 0.5
 #: Ratio of its regular weight that a server has while it reports that it is warming up.
 WARMUP_WEIGHT_RATIO = 0.5
 
@@ -241,6 +244,7 @@
             for member in self.fleet.assignable(pool)
             if not self.fleet.directory.is_replaced(member) and not self._is_unavailable(member)
         ]
+        heartbeats = self._without_cold(pool, heartbeats)
         weights = self._limit_cold(pool, heartbeats, self._weights(heartbeats))
         return [
             PlannerServer(heartbeat.identity, heartbeat.incarnation, weight)
@@ -261,17 +265,34 @@
             for heartbeat, factor in zip(heartbeats, factors, strict=True)
         ]
 
+    def _without_cold(
+        self, pool: str, heartbeats: list[ServerHeartbeat]
+    ) -> list[ServerHeartbeat]:
+        """Return the servers that may get keys: only warm ones if these are enough.
+
+        A server is warm some seconds after its start without any requests. A key that becomes hot
+        at a cold server brings it over its rate before entries know the limit.
+        """
+        if self._warmup_rate(pool) is None:
+            return heartbeats
+        warm = [heartbeat for heartbeat in heartbeats if heartbeat.warmup_seconds <= 0]
+        return warm if len(warm) >= MIN_WARM_RATIO * len(heartbeats) else heartbeats
+
+    def _warmup_rate(self, pool: str) -> float | None:
+        publication = self.fleet.publication
+        published = publication.pools.get(pool) if publication is not None else None
+        return published.warmup_rate if published is not None else None
+
     def _limit_cold(
         self, pool: str, heartbeats: list[ServerHeartbeat], weights: list[float]
     ) -> list[float]:
         """Return the weights with those of cold servers reduced to the published rate."""
-        publication = self.fleet.publication
-        published = publication.pools.get(pool) if publication is not None else None
+        warmup_rate = self._warmup_rate(pool)
         is_cold = [heartbeat.warmup_seconds > 0 for heartbeat in heartbeats]
-        if published is None or published.warmup_rate is None or not any(is_cold):
+        if warmup_rate is None or not any(is_cold):
             return weights
         demand = self.fleet.limits.steady_demand(pool)
-        return limit_cold_weights(weights, is_cold, published.warmup_rate, demand)
+        return limit_cold_weights(weights, is_cold, warmup_rate, demand)
 
     def _is_unavailable(self, member: FleetMember) -> bool:
         since_heartbeat = self.clock.now() - member.seen_at
