--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -265,18 +265,24 @@
             for heartbeat, factor in zip(heartbeats, factors, strict=True)
         ]
 
-    def _without_cold(
-        self, pool: str, heartbeats: list[ServerHeartbeat]
-    ) -> list[ServerHeartbeat]:
-        """Return the servers that may get keys: only warm ones if these are enough.
+    def _without_cold(self, pool: str, heartbeats: list[ServerHeartbeat]) -> list[ServerHeartbeat]:
+        """Return the servers without the cold ones that own no keys, if enough are warm.
 
         A server is warm some seconds after its start without any requests. A key that becomes hot
-        at a cold server brings it over its rate before entries know the limit.
+        at a cold server brings it over its rate before entries know the limit. A cold owner stays,
+        so that its keys move away as far as they exceed its limit.
         """
         if self._warmup_rate(pool) is None:
             return heartbeats
-        warm = [heartbeat for heartbeat in heartbeats if heartbeat.warmup_seconds <= 0]
-        return warm if len(warm) >= MIN_WARM_RATIO * len(heartbeats) else heartbeats
+        warm_count = sum(heartbeat.warmup_seconds <= 0 for heartbeat in heartbeats)
+        if warm_count < MIN_WARM_RATIO * len(heartbeats):
+            return heartbeats
+        owners = {assignment.identity for assignment in self.fleet.state.ranges.pools.get(pool, ())}
+        return [
+            heartbeat
+            for heartbeat in heartbeats
+            if heartbeat.warmup_seconds <= 0 or heartbeat.identity in owners
+        ]
 
     def _warmup_rate(self, pool: str) -> float | None:
         publication = self.fleet.publication
--- a/packages/medlarpass-daemon/tests/control/fleet/test_server_limits.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_server_limits.py
@@ -264,6 +264,27 @@
     assert total > 0.2 * WARMUP_RATE * 24
 
 
+async def test_a_new_cold_server_gets_no_keys_before_it_is_warm(new_simulation: Any) -> None:
+    """Guards against a key that becomes hot at a cold server before entries know its limit."""
+    simulation = new_simulation(SERVER_COUNT)
+    fleet = ColdFleet(simulation, OWNED_POOL, 75, 37)
+    simulation.servers["s3"].is_up = False
+    fleet.cold_until["s3"] = simulation.clock.now() + 12.0
+    await fleet.run(8.0)
+    assert not owned_key_count(fleet, "s3")
+    simulation.servers["s3"].is_up = True
+    await fleet.run(3.0)
+    assert not owned_key_count(fleet, "s3")
+    await fleet.run(4.0)
+    assert owned_key_count(fleet, "s3")
+
+
+def owned_key_count(fleet: ColdFleet, server: str) -> int:
+    """Return the number of keys that a server owns."""
+    assigned = fleet.simulation.state.ranges.pools[OWNED_POOL]
+    return sum(own.last - own.first + 1 for own in assigned if own.identity == server)
+
+
 async def test_when_all_servers_are_cold_the_rest_is_refused(new_simulation: Any) -> None:
     """Guards against a pool that crashes as a whole after its servers restarted together."""
     fleet = ColdFleet(new_simulation(SERVER_COUNT), OPEN_POOL, 75, 11)
@@ -376,10 +397,19 @@
         await limited.step()
         attempts += limited.sent[-1].get(owner, 0)
     assert 0.6 * CAPACITY < attempts / 10 < 1.3 * CAPACITY
-    owner = owner_of_hot_key(limited)
-    limited.hot_share = 0.0
-    await limited.run(5.0)
-    assert owner not in limited.simulation.fleet.limits.admission.sent
+
+
+@pytest.mark.parametrize("entry_count", [1, 75, 300])
+async def test_the_limit_of_an_owner_ends_after_its_key_was_hot(
+    new_simulation: Any, entry_count: int
+) -> None:
+    """Guards against refusals that outlast a key which was hot for 8 s by 5 s."""
+    fleet = ColdFleet(new_simulation(SERVER_COUNT), OWNED_POOL, entry_count, 23)
+    await rejections_with_a_hot_key(fleet, True)
+    owner = owner_of_hot_key(fleet)
+    fleet.hot_share = 0.0
+    await fleet.run(5.0)
+    assert owner not in fleet.simulation.fleet.limits.admission.sent
 
 
 async def test_without_the_setting_no_warm_server_is_limited(new_simulation: Any) -> None:
