--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -99,7 +99,7 @@
         self.clock = clock
         self.lease = LeaderLease(log.replica, lease, clock)
         fleet.lease = self.lease
-        fleet.limits.limits_overload = settings.capacity_planning
+        fleet.limits.limits_overload = settings.owner_limits
         self.grants = RangeGrants(log, fleet, calls, settings, self.lease, clock)
         self.moves = RangeMoves(fleet, self.grants, clock)
         self.admission = PoolAdmissionPlanner(fleet, settings)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/fleet.py
@@ -30,6 +30,7 @@
         "heartbeat",
         "hold",
         "listener",
+        "owner_limits",
         "pool_admission",
         "retry_ratio",
         "seeds",
@@ -43,7 +44,7 @@
         self.apply_within: float = document["apply_within"]
         #: Addresses of the control listener on some VMs.
         self.seeds: list[str] = document["seeds"]
-        #: Whether keys are planned by the capacity of servers, and overloaded servers are limited.
+        #: Whether keys are planned by the capacity of servers.
         self.capacity_planning: bool = document["capacity_planning"]
         #: Whether the whole system starts for the first time, with empty data folders.
         self.first_start: bool = document["first_start"]
@@ -57,6 +58,8 @@
         self.hold: float = min(document["hold"], document["longest_hold"])
         #: Whether control decides which share of the requests leaves its failure domain.
         self.domain_routing: bool = document["domain_routing"]
+        #: Whether entries send an overloaded owner only the share that it can handle.
+        self.owner_limits: bool = document["owner_limits"]
         #: Whether control limits the requests for a pool that is asked for more than it can serve.
         self.pool_admission: bool = document["pool_admission"]
         #: Retry budget: retries as a ratio of all requests of a pool.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -176,6 +176,7 @@
     vol.Optional("hold", default="6s"): duration("500ms", "60s"),
     vol.Optional("longest_hold", default="60s"): duration("500ms", "60s"),
     vol.Optional("domain_routing", default=False): bool,
+    vol.Optional("owner_limits", default=False): bool,
     vol.Optional("pool_admission", default=False): bool,
     vol.Optional("retry_ratio", default=0.2): ratio,
     vol.Optional("apply_within", default="2s"): duration("500ms", "60s"),
--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -261,7 +261,11 @@
         """Start a new leader, which only knows the log."""
         self.fleet = FleetState(self.state, self.clock)
         settings: Any = SimpleNamespace(
-            hold=GRANT_LEASE_SECONDS, heartbeat=0.5, silent_after=3, capacity_planning=False
+            hold=GRANT_LEASE_SECONDS,
+            heartbeat=0.5,
+            silent_after=3,
+            capacity_planning=False,
+            owner_limits=False,
         )
         log: Any = self.log
         self.keeper = RangeKeeper(
