--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,39 +16,6 @@
 STEP_SECONDS = 0.02
 
 
-class Overlap:
-    """The longest time for which two live workers held the same keys."""
-
-    def __init__(self, record: rig.Record, workers: list[rig.Worker]) -> None:
-        self.record, self.workers = record, workers
-        self.since: dict[tuple[str, str], float] = {}
-        self.longest = 0.0
-        #: Requests on keys with two holders: key, first holder and second holder.
-        self.both_began: list[tuple[int, str, str]] = []
-
-    def shared_keys(self, first: rig.Worker, second: rig.Worker) -> tuple[int, int] | None:
-        for low, high in first.held():
-            for other_low, other_high in second.held():
-                if low <= other_high and other_low <= high:
-                    return max(low, other_low), min(high, other_high)
-        return None
-
-    def check(self) -> None:
-        now = time.monotonic()
-        for number, first in enumerate(self.workers):
-            for second in self.workers[:number]:
-                pair = (first.identity, second.identity)
-                shared = self.shared_keys(first, second)
-                if shared is None:
-                    if (since := self.since.pop(pair, None)) is not None:
-                        self.record.write(f"{pair} no longer hold the same keys, {now - since:.2f} s")
-                    continue
-                if pair not in self.since:
-                    self.record.write(f"{pair} both hold keys {shared}")
-                    self.since[pair] = now
-                self.longest = max(self.longest, now - self.since[pair])
-
-
 async def send_reads(deployment: rig.Deployment, statuses: dict) -> None:
     number = 0
     while True:
@@ -83,7 +50,7 @@
         for worker in stock:
             record.write(f"{worker.identity} at {worker.address} holds {worker.held()}")
         reads = asyncio.create_task(send_reads(deployment, statuses))
-        overlap = Overlap(record, stock)
+        overlap = rig.Overlap(record, stock)
         # Calm for longer than one hold, so that any keys on the move at the start have arrived.
         end = time.monotonic() + 8.0
         while time.monotonic() < end:
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -167,6 +167,27 @@
                     process.kill()
                 await process.wait()
 
+    def pause(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    async def leader(self) -> str | None:
+        """Return the machine that answers the operator's read itself, as its leader."""
+        for name, ip in self.names.items():
+            if not name.startswith("core"):
+                continue
+            try:
+                answer = await ask(
+                    ip, self.ports["control"], "POST", "/api/rpc?call=config.get", {}, b"{}", 0.5
+                )
+            except (OSError, EOFError, TimeoutError):
+                continue
+            if answer.status == 200:
+                return name
+        return None
+
     def log_of(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text(errors="replace")
 
@@ -318,7 +339,7 @@
         self.address = ""
         self.server: asyncio.Server | None = None
         self.beats: asyncio.Task | None = None
-        self.on_grant = lambda worker, first, last: None
+        self.on_release = lambda worker: None
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, WORKER_IP, 0, limit=1 << 20)
@@ -346,6 +367,25 @@
             await self.deployment.call_control(call, self.heartbeat(), within=1.0)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def leave(self, drain_s: float) -> None:
+        """Leave as planned: report ``draining``, serve on, deregister and end."""
+        self.state = "draining"
+        if self.beats is not None:
+            self.beats.cancel()
+        call = f"instances.heartbeat&of={self.identity}"
+        deadline = time.monotonic() + 10.0
+        while time.monotonic() < deadline:
+            answer = await self.deployment.call_control(call, self.heartbeat(), within=1.0)
+            if answer is not None and answer.status == 200:
+                break
+            await asyncio.sleep(0.2)
+        self.record.write(f"{self.identity} leaves, confirmed: {answer is not None and answer.status}")
+        await asyncio.sleep(drain_s + 0.5)
+        body = {"born": self.born}
+        await self.deployment.call_control(f"instances.deregister&of={self.identity}", body, 2.0)
+        self.grants.clear()
+        self.stop()
+
     def held(self) -> list[tuple[int, int]]:
         now = time.monotonic()
         return [(grant.first, grant.last) for grant in self.grants if grant.until > now]
@@ -394,7 +434,6 @@
         self.seen.append((first, last, fence))
         self.grants = [part for grant in self.grants for part in self._without(grant, first, last)]
         self.grants.append(Grant(first, last, fence, time.monotonic() + body["hold_s"]))
-        self.on_grant(self, first, last)
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
     def _without(self, grant: Grant, first: int, last: int) -> list[Grant]:
@@ -405,6 +444,7 @@
 
     async def _release(self, writer, body: dict) -> None:
         first, last = body["from"], body["to"]
+        self.on_release(self)
         self.grants = [part for grant in self.grants for part in self._without(grant, first, last)]
         while any(first <= key <= last for key in self.running):
             await asyncio.sleep(0.01)
@@ -444,6 +484,37 @@
         ).encode() + body
 
 
+class Overlap:
+    """The longest time for which two live workers held the same keys."""
+
+    def __init__(self, record: Record, workers: list[Worker]) -> None:
+        self.record, self.workers = record, workers
+        self.since: dict[tuple[str, str], float] = {}
+        self.longest = 0.0
+
+    def shared_keys(self, first: Worker, second: Worker) -> tuple[int, int] | None:
+        for low, high in first.held():
+            for other_low, other_high in second.held():
+                if low <= other_high and other_low <= high:
+                    return max(low, other_low), min(high, other_high)
+        return None
+
+    def check(self) -> None:
+        now = time.monotonic()
+        for number, first in enumerate(self.workers):
+            for second in self.workers[:number]:
+                pair = (first.identity, second.identity)
+                shared = self.shared_keys(first, second)
+                if shared is None:
+                    if (since := self.since.pop(pair, None)) is not None:
+                        self.record.write(f"{pair} no longer hold the same keys, {now - since:.2f} s")
+                    continue
+                if pair not in self.since:
+                    self.record.write(f"{pair} both hold keys {shared}")
+                    self.since[pair] = now
+                self.longest = max(self.longest, now - self.since[pair])
+
+
 def route(name: str, kind: str, service: str, **options) -> dict:
     return {
         "name": name, "host": f"{name}.example", "path_prefix": f"/{name}/", "type": kind,
