--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -12,6 +12,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -148,7 +149,9 @@
         ]
         if command[0] == "python3":
             command[0] = sys.executable
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment |= {"PYTHONPATH": str(ROOT / "target/deps"), "MEDLARPASS_BOOT": str(settings)}
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = await asyncio.create_subprocess_exec(
@@ -160,12 +163,15 @@
             await self.start(name, bootstrap=name.startswith("core"))
 
     async def stop_all(self) -> None:
+        """End all processes and remove their folder, unless ``KEEP`` is set."""
         for process in self.processes.values():
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
                     process.send_signal(signal.SIGCONT)
                     process.kill()
                 await process.wait()
+        if "KEEP" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def pause(self, name: str) -> None:
         self.processes[name].send_signal(signal.SIGSTOP)
@@ -203,7 +209,9 @@
     async def readiness(self, name: str) -> int:
         """Ask ``GET /readyz``, the project's name of ``GET /api/ready``; 0 without a response."""
         try:
-            answer = await ask(self.names[name], self.ports["readiness"], "GET", "/readyz", timeout=1)
+            answer = await ask(
+                self.names[name], self.ports["readiness"], "GET", "/readyz", timeout=1
+            )
         except (OSError, EOFError, TimeoutError):
             return 0
         return answer.status
@@ -313,6 +321,17 @@
         self.first, self.last, self.fence, self.until = first, last, fence, until
 
 
+class CutWriter:
+    """Writes answers to the core, which are lost while the worker is cut off one way."""
+
+    def __init__(self, worker: Worker, writer: asyncio.StreamWriter) -> None:
+        self.worker, self.writer = worker, writer
+
+    def write(self, data: bytes) -> None:
+        if time.monotonic() >= self.worker.cut_until:
+            self.writer.write(data)
+
+
 class Worker:
     """A sound worker as PROTOCOL.md describes it."""
 
@@ -340,6 +359,8 @@
         self.server: asyncio.Server | None = None
         self.beats: asyncio.Task | None = None
         self.on_release = lambda worker: None
+        #: Until then nothing that this worker sends reaches the core.
+        self.cut_until = 0.0
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, WORKER_IP, 0, limit=1 << 20)
@@ -363,23 +384,26 @@
 
     async def _send_beats(self) -> None:
         while True:
-            call = f"instances.heartbeat&of={self.identity}"
-            await self.deployment.call_control(call, self.heartbeat(), within=1.0)
+            await self.send_beat()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def send_beat(self) -> int:
+        """Send a heartbeat and return the status of its answer, 0 without one."""
+        if time.monotonic() < self.cut_until:
+            return 0
+        call = f"instances.heartbeat&of={self.identity}"
+        answer = await self.deployment.call_control(call, self.heartbeat(), within=1.0)
+        return answer.status if answer is not None else 0
+
     async def leave(self, drain_s: float) -> None:
         """Leave as planned: report ``draining``, serve on, deregister and end."""
         self.state = "draining"
         if self.beats is not None:
             self.beats.cancel()
-        call = f"instances.heartbeat&of={self.identity}"
-        deadline = time.monotonic() + 10.0
-        while time.monotonic() < deadline:
-            answer = await self.deployment.call_control(call, self.heartbeat(), within=1.0)
-            if answer is not None and answer.status == 200:
-                break
+        deadline = time.monotonic() + 15.0
+        while (status := await self.send_beat()) != 200 and time.monotonic() < deadline:
             await asyncio.sleep(0.2)
-        self.record.write(f"{self.identity} leaves, confirmed: {answer is not None and answer.status}")
+        self.record.write(f"{self.identity} leaves, status of the confirmation: {status}")
         await asyncio.sleep(drain_s + 0.5)
         body = {"born": self.born}
         await self.deployment.call_control(f"instances.deregister&of={self.identity}", body, 2.0)
@@ -412,9 +436,9 @@
         if headers.get("medlarpass-expected-instance", self.identity) != self.identity:
             self._refuse(writer, 421, headers)
         elif path == "/api/grant":
-            self._grant(writer, json.loads(body))
+            self._grant(CutWriter(self, writer), json.loads(body))
         elif path == "/api/release":
-            await self._release(writer, json.loads(body))
+            await self._release(CutWriter(self, writer), json.loads(body))
         else:
             await self.run(first, headers, body, reader, writer)
 
@@ -507,7 +531,9 @@
                 shared = self.shared_keys(first, second)
                 if shared is None:
                     if (since := self.since.pop(pair, None)) is not None:
-                        self.record.write(f"{pair} no longer hold the same keys, {now - since:.2f} s")
+                        self.record.write(
+                            f"{pair} no longer hold the same keys, {now - since:.2f} s"
+                        )
                     continue
                 if pair not in self.since:
                     self.record.write(f"{pair} both hold keys {shared}")
