--- a/review/7/case.py
+++ b/review/7/case.py
@@ -70,6 +70,8 @@
         while time.monotonic() < end:
             overlap.check()
             await asyncio.sleep(STEP_SECONDS)
+        for worker in stock:
+            record.write(f"{worker.identity} at {worker.address} holds {worker.held()}")
         record.write(f"answers to reads by status: {statuses}")
         record.write(f"longest time with two holders of the same keys: {overlap.longest:.2f} s")
         return overlap.longest <= MAX_OVERLAP_SECONDS
