End all tasks of a term before the next term can begin

Cause: the end of a term cancelled its moves without waiting for them. When the total timeout of an aiohttp call and a cancellation are due in the same pass of the event loop, as after a freeze, the call ends with the timeout and the cancellation is lost. The move went on as after a lost release and recorded its keys as free in a table that had just been cleared, and the next term of this replica granted them.

Change: end_tasks repeats the cancellation until every task has ended, and moves, grants, the confirmation of the leadership and the load periods end with it before the state of the term is cleared. A release needs the leader lease, also when it is repeated. A move that starts before the end of the one before it is noticed stays among the moves in progress.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/exceptions.py
@@ -91,6 +91,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class LeaseNotHeldError(MedlarpassError):
+    """The leader lease is not held, so another replica may decide on the keys."""
+
+    code = "lease_not_held"
+    http_status = 503
+    outcome = Outcome.NOT_RUN
+
+
 class ServerCallError(MedlarpassError):
     """A grant or release call to a server failed."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
@@ -15,8 +15,10 @@
 from medlarpass_daemon.control.fleet import events
 from medlarpass_daemon.control.fleet.exceptions import GrantOutdatedError
 from medlarpass_daemon.control.fleet.exceptions import HigherFenceError
+from medlarpass_daemon.control.fleet.exceptions import LeaseNotHeldError
 from medlarpass_daemon.control.fleet.exceptions import ServerCallError
 from medlarpass_daemon.control.fleet.exceptions import ServerNotReachedError
+from medlarpass_daemon.supervision import end_tasks
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -126,11 +128,9 @@
         self.known_fences = set(self.fleet.confirmed_fences)
         self.fleet.ranges_changed()
 
-    def stop(self) -> None:
-        """Cancel all calls and clear the state that only a leader keeps."""
-        for task in self.tasks:
-            task.cancel()
-        self.tasks.clear()
+    async def stop(self) -> None:
+        """End all calls and clear the state that only a leader keeps."""
+        await end_tasks(self.tasks)
         self.renewed_at.clear()
         self.locks.clear()
         self.failed_at.clear()
@@ -260,8 +260,10 @@
         After a restart of the server the release goes to its newest incarnation, the only one that
         may still own the keys.
 
+        :raises LeaseNotHeldError: another replica may lead; nothing was sent
         :raises ServerCallError: the server may still run requests for the keys
         """
+        self._check_lease()
         member = self.fleet.directory.members.get(part.identity)
         if member is None or member.heartbeat.incarnation < part.incarnation:
             raise ServerNotReachedError(f"{part.identity} is no longer known")
@@ -274,9 +276,14 @@
             remaining = deadline - self.clock.now()
             if remaining <= 0:
                 raise
+        self._check_lease()
         # A release may be repeated. Without it the keys have no owner until their grant expires.
         return await self.calls.release(member.heartbeat, part, remaining, shares_connection=False)
 
+    def _check_lease(self) -> None:
+        if not self.lease.is_held:
+            raise LeaseNotHeldError("another replica may lead")
+
     async def _grant_first(self, assignment: RangeAssignment, handover: str) -> None:
         try:
             # A response that ends the doubt about earlier grants must not be a late copy.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -21,6 +21,7 @@
 from medlarpass_daemon.control.fleet.pool_admission_planner import PoolAdmissionPlanner
 from medlarpass_daemon.control.fleet.range_grants import RangeGrants
 from medlarpass_daemon.control.fleet.range_moves import RangeMoves
+from medlarpass_daemon.supervision import end_tasks
 from medlarpass_daemon.supervision import supervise
 
 if TYPE_CHECKING:
@@ -166,13 +167,13 @@
                     await self.step()
                 await asyncio.sleep(STEP_SECONDS)
         finally:
-            for task in running:
-                task.cancel()
             self.fleet.end_term()
             if self.traffic_planner is not None:
                 self.traffic_planner.end_term()
-            self.moves.stop()
-            self.grants.stop()
+            # No task may write to the state of the next term. Moves start grants and end first.
+            await end_tasks(running)
+            await self.moves.stop()
+            await self.grants.stop()
             events.KEEPER_STOPPED.log(term=self.lease.term)
 
     async def _decay_loads(self) -> None:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_moves.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_moves.py
@@ -13,6 +13,7 @@
 from medlarpass.ranges import overlapping
 from medlarpass_daemon.control.fleet import events
 from medlarpass_daemon.control.fleet.exceptions import ServerCallError
+from medlarpass_daemon.supervision import end_tasks
 
 if TYPE_CHECKING:
     from typing import TypeAlias
@@ -56,11 +57,12 @@
         self.targets: dict[MoveKey, RangeAssignment] = {}
         self.tasks: dict[MoveKey, asyncio.Task[None]] = {}
 
-    def stop(self) -> None:
-        """Cancel all moves; the next leader renews the assignments in the log."""
-        for task in self.tasks.values():
-            task.cancel()
-        self.tasks.clear()
+    async def stop(self) -> None:
+        """End all moves; the next leader renews the assignments in the log.
+
+        A move that went on would record keys as free in the next term of this replica.
+        """
+        await end_tasks(self.tasks.values())
         self.targets.clear()
         self.free_at.clear()
         self.released_incarnations.clear()
@@ -176,8 +178,10 @@
             server=part.identity, first=part.first, last=part.last, code=error.code
         )
 
-    def _forget_task(self, key: MoveKey, _: asyncio.Task[None]) -> None:
-        self.tasks.pop(key, None)
+    def _forget_task(self, key: MoveKey, task: asyncio.Task[None]) -> None:
+        # The keys may be moving again; the later move has to end with the term.
+        if self.tasks.get(key) is task:
+            del self.tasks[key]
 
     def _unmark_moving(self, key: MoveKey) -> None:
         moving = self.fleet.moving.get(key[0])
--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -16,6 +16,7 @@
 from medlarpass.fleet import ServerHeartbeat
 from medlarpass.publication import Publication
 from medlarpass.ranges import KEY_COUNT
+from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
 from medlarpass_daemon.control.fleet.exceptions import GrantOutdatedError
 from medlarpass_daemon.control.fleet.exceptions import HigherFenceError
@@ -62,6 +63,8 @@
         self.is_unreachable = False
         #: Whether releases on open connections fail, for example by a copy of another response.
         self.serves_new_connections_only = False
+        #: Called when a release on an open connection fails.
+        self.on_refused_release: Callable[[], None] = lambda: None
         #: Time until which heartbeats do not arrive.
         self.silent_until = 0.0
         self.warmup_seconds = 0.0
@@ -198,11 +201,17 @@
     ) -> str:
         target = self.simulation.reach(server)
         if shares_connection and target.serves_new_connections_only:
+            target.on_refused_release()
             raise ServerCallLostError(server.identity)
         if self.simulation.rng.random() < self.simulation.loss_ratio / 2:
             raise ServerCallLostError(server.identity)
         if target.release_seconds:
-            await self.simulation.wait(target.release_seconds)
+            try:
+                await self.simulation.wait(target.release_seconds)
+            except asyncio.CancelledError as error:
+                if not self.simulation.loses_cancellations:
+                    raise
+                raise ServerCallLostError(server.identity) from error
         target.release(assignment)
         return "warm"
 
@@ -218,7 +227,25 @@
         self.result_delay_turns = 0
         #: Whether another replica leads; proposals of the former leader are not appended then.
         self.is_deposed = False
-        self.replica = SimpleNamespace(is_leader=True, term=1)
+        self.replica = SimpleNamespace(
+            is_leader=True,
+            term=1,
+            read_index=self.read_index,
+            wait_applied=self.wait_applied,
+            confirm_leadership=self.confirm_leadership,
+        )
+
+    async def read_index(self) -> int:
+        if not self.replica.is_leader:
+            raise NotLeaderError(None)
+        return self.state.applied_index
+
+    async def wait_applied(self, index: int) -> None:
+        return
+
+    async def confirm_leadership(self) -> None:
+        if not self.replica.is_leader:
+            raise NotLeaderError(None)
 
     async def propose(self, command: control_pb2.Command) -> control_pb2.CommandResult:
         if self.is_deposed:
@@ -242,6 +269,8 @@
         self.waiting: list[tuple[float, asyncio.Event]] = []
         #: Set when connections to servers are ready; None when they are at once.
         self.connecting: asyncio.Event | None = None
+        #: Whether the timeout of a release replaces its cancellation, which comes at the same time.
+        self.loses_cancellations = False
         self.servers = {f"s{n}": SimulatedServer(f"s{n}", self.clock) for n in range(count)}
         self.state = ControlState()
         publication = Publication.from_document(
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -5,6 +5,7 @@
 import asyncio
 import sys
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 import pytest
@@ -12,6 +13,11 @@
 from medlarpass.ranges import KEY_COUNT
 from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
+from medlarpass_daemon.control.fleet import range_keeper
+from medlarpass_daemon.control.fleet.exceptions import LeaseNotHeldError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 #: Validity of a grant in the simulation.
 GRANT_LEASE_SECONDS = 4.0
@@ -433,6 +439,116 @@
     assert simulation.count_unowned() == 0
 
 
+async def until(condition: Callable[[], Any]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(20):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("has_changed_term", [False, True])
+async def test_a_move_of_an_ended_term_frees_no_keys(
+    new_simulation: Any, monkeypatch: pytest.MonkeyPatch, has_changed_term: bool
+) -> None:
+    """Guards against two owners after a leader was frozen while keys moved (review/6).
+
+    The timeout of a release expired together with the cancellation at the end of the term, and
+    replaced it. The move noted its keys as free, and the next term of the replica granted them.
+    """
+    monkeypatch.setattr(range_keeper, "STEP_SECONDS", 0.0)
+    simulation = new_simulation(6)
+    await simulation.run(2)
+    keeper, replica = simulation.keeper, simulation.log.replica
+    leaving = simulation.servers["s3"]
+    leaving.release_seconds = 60.0
+    keeper.lease.expires_at = 0.0
+    running = asyncio.create_task(keeper.run())
+    await until(lambda: keeper.lease.is_held)
+    for server in simulation.servers.values():
+        simulation.receive(server.heartbeat())
+    simulation.fleet.directory.retire("s3", 1)
+    await until(lambda: simulation.waiting)
+    moved = [owned for owned in simulation.state.ranges.all() if owned.identity == "s3"]
+    simulation.loses_cancellations = True
+    simulation.clock.advance(GRANT_LEASE_SECONDS)
+    replica.is_leader = False
+    await until(lambda: not simulation.fleet.led_term)
+    for _ in range(20):
+        await asyncio.sleep(0)
+    # The release has reached the server, and another leader grants its keys.
+    for owned in moved:
+        leaving.release(owned)
+    other = control_pb2.AssignRanges(
+        assignments=[
+            control_pb2.RangeAssignment(
+                pool="stock", first=owned.first, last=owned.last, identity="s4", life=1
+            )
+            for owned in moved
+        ]
+    )
+    await simulation.log.propose(control_pb2.Command(assign_ranges=other))
+    simulation.clock.advance(GRANT_LEASE_SECONDS)
+    for owned in simulation.state.ranges.all():
+        simulation.servers[owned.identity].receive_grant(owned)
+    last_fence = simulation.state.ranges.last_fence
+    keeper.lease.expires_at = 0.0
+    replica.is_leader = True
+    replica.term += 2 * has_changed_term
+    await until(lambda: keeper.lease.is_held)
+    for server in simulation.servers.values():
+        simulation.receive(server.heartbeat())
+    await asyncio.sleep(0.05)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    simulation.check_ownership()
+    assert simulation.state.ranges.last_fence == last_fence
+
+
+@pytest.mark.parametrize("ends_during_the_call", [False, True])
+async def test_a_deposed_leader_releases_nothing(
+    new_simulation: Any, ends_during_the_call: bool
+) -> None:
+    """Guards against keys that a former leader takes away from the owner that a new one renews.
+
+    A release that failed was repeated on another connection without regard to the lease.
+    """
+    simulation = new_simulation(3)
+    await simulation.run(2)
+    server = simulation.servers["s1"]
+    server.serves_new_connections_only = True
+    simulation.fleet.directory.retire("s1", 1)
+    if ends_during_the_call:
+        server.on_refused_release = lambda: setattr(simulation.keeper.lease, "expires_at", 0.0)
+        await simulation.step()
+    else:
+        owned = next(owned for owned in simulation.state.ranges.all() if owned.identity == "s1")
+        simulation.keeper.lease.expires_at = 0.0
+        with pytest.raises(LeaseNotHeldError):
+            await simulation.keeper.grants.release(owned)
+    assert server.grants
+
+
+async def test_a_move_that_follows_another_one_ends_with_the_term(new_simulation: Any) -> None:
+    """Guards against a move that no term ends, after another one of the same keys.
+
+    The first move's end, noticed late, dropped the second one from the moves in progress.
+    """
+    simulation = new_simulation(3)
+    await simulation.run(2)
+    moves = simulation.keeper.moves
+    for server in simulation.servers.values():
+        server.release_seconds = 60.0
+    owned = simulation.state.ranges.pools["stock"]
+    moves.start(owned, owned[0])
+    key, first = next(iter(moves.tasks.items()))
+    second = asyncio.create_task(asyncio.sleep(3600))
+    moves.tasks[key] = second
+    first.cancel()
+    await asyncio.gather(first, return_exceptions=True)
+    await moves.stop()
+    assert second.cancelled()
+
+
 RANDOM_FAULTS = ["cut", "heal", "crash", "restart", "leave", "leader", "none"]
 
 
@@ -529,7 +645,7 @@
             simulation.servers[name].restart()
             simulation.fleet.directory.record_heartbeat(simulation.servers[name].heartbeat())
         calls.append(await count_calls_of_step(simulation))
-        simulation.keeper.grants.stop()
+        await simulation.keeper.grants.stop()
     assert calls[1] < 6 * calls[0]
 
 
@@ -564,7 +680,7 @@
         simulation.fleet.directory.record_heartbeat(server.heartbeat())
     await simulation.keeper.step()
     assert len(simulation.keeper.grants.tasks) <= 100
-    simulation.keeper.grants.stop()
+    await simulation.keeper.grants.stop()
     await simulation.run(1.0)
     assert simulation.count_unowned() == 0
 
--- a/tests/platform_adapter/test_platform_server_calls.py
+++ b/tests/platform_adapter/test_platform_server_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 
 from typing import TYPE_CHECKING
 from typing import Any
@@ -102,6 +103,29 @@
     assert server.calls == [("/api/release", {"from": 4096, "to": 8191, "fence": 12})]
 
 
+@pytest.mark.parametrize("cancel_first", [True, False])
+async def test_a_cancellation_that_coincides_with_the_timeout_is_not_lost(
+    server: FakeServer, calls: PlatformServerCalls, cancel_first: bool
+) -> None:
+    """Guards against a call that goes on after the term of its leader (review/6).
+
+    A replica that was frozen finds the timeout of a release and the end of its term together.
+    """
+    server.is_unresponsive = True
+    timeout = 1.0
+    task = asyncio.create_task(calls.release(server.heartbeat(), ASSIGNMENT, timeout, True))
+    started_at = time.monotonic()
+    while not server.calls:  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+    offset = -0.01 if cancel_first else 0.01
+    elapsed = time.monotonic() - started_at
+    asyncio.get_running_loop().call_later(max(timeout - elapsed + offset, 0.0), task.cancel)
+    # Like a process that is frozen.
+    time.sleep(timeout + 0.1)  # noqa: ASYNC251
+    with pytest.raises(asyncio.CancelledError):
+        await task
+
+
 @pytest.mark.parametrize(("status", "error"), [(409, HigherFenceError), (400, ServerCallLostError)])
 async def test_a_refused_grant_is_an_error(
     server: FakeServer, calls: PlatformServerCalls, status: int, error: type[Exception]
