Confirm no report of a domain in a later term than its own

Cause: a report to the leader waits for the log. When the leadership ends and this replica leads again meanwhile, the renewals of the new term were used, and the report was confirmed with a state that may lack what the leader in between had freed. The same class as moves that outlive their term. The end of freeing shards was recorded in the later term in the same way.

Change: both keep the renewals of the term in which they began.

Tests: test_a_report_of_an_earlier_term_renews_nothing and test_freeing_of_an_earlier_term_allows_no_renewal fail on the code before. Found by reading; no run of callers has shown it.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/delegator.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/delegator.py
@@ -91,6 +91,7 @@
         unconfirmed = control_pb2.DomainReportResponse(confirmed=False)
         if not self._check_leadership():
             return unconfirmed
+        renewals = self.renewals
         try:
             # The quorum round starts after the report arrived, so a deposed leader renews nothing.
             # Waiting for the index keeps a new leader from renewing shards that a committed but
@@ -103,11 +104,13 @@
         except MedlarpassError as error:
             DELEGATION_FAILED.log(code=error.code, message=error.message)
             return unconfirmed
-        if not self._check_leadership() or not self.renewals.may_confirm(report.domain):
+        # In a later term, the state here may lack what another leader has freed meanwhile.
+        is_same_term = self._check_leadership() and self.renewals is renewals
+        if not is_same_term or not renewals.may_confirm(report.domain):
             return unconfirmed
         self.last_reports[report.domain] = _LastReport(report, self.clock.now())
         self._average_loads(report)
-        self.renewals.renew(report.domain)
+        renewals.renew(report.domain)
         return self._build_response(report)
 
     def reports(self) -> list[control_pb2.DomainReport]:
@@ -160,12 +163,13 @@
 
     async def _free_expired_shards(self, pools: list[Pool]) -> None:
         terms = {pool.name: pool.delegation_term for pool in pools}
-        for command in self.renewals.start_freeing(self.log.state.delegations, terms):
+        renewals = self.renewals
+        for command in renewals.start_freeing(self.log.state.delegations, terms):
             SHARDS_FREED.log(domain=command.domain, shards=len(command.shards))
             await self._propose(control_pb2.Command(free_shards=command))
             # After an unknown result this is skipped and the domain stays unconfirmed, because its
             # shards may have been freed.
-            self.renewals.finish_freeing(command)
+            renewals.finish_freeing(command)
 
     async def _plan_pool(self, pool: Pool) -> None:
         slots = self._weighted_slots(pool.name)
--- a/packages/medlarpass-daemon/tests/control/test_delegator.py
+++ b/packages/medlarpass-daemon/tests/control/test_delegator.py
@@ -159,3 +159,34 @@
     response = await system.report("a", needs_new_epochs=True)
     assert response.new_epochs
     assert {delegation.epoch for delegation in response.delegations} == {2}
+
+
+async def test_a_report_of_an_earlier_term_renews_nothing(system: DelegatorSystem) -> None:
+    """Guards against two holders after a report outlived the term in which it arrived.
+
+    Another leader may have freed the shards meanwhile, in a command that is not applied here yet.
+    """
+
+    async def wait_applied(index: int) -> None:
+        system.log.replica.term += 2
+
+    system.log.replica.wait_applied = wait_applied  # type: ignore[method-assign]
+    response = await system.report("a")
+    assert not response.confirmed
+    assert not response.delegations
+
+
+async def test_freeing_of_an_earlier_term_allows_no_renewal(system: DelegatorSystem) -> None:
+    """Guards against a renewal while the shards of its domain are being freed in a later term."""
+    propose = system.log.propose
+
+    async def propose_late(command: control_pb2.Command) -> control_pb2.CommandResult:
+        system.log.replica.term += 2
+        system.delegator._check_leadership()
+        system.delegator.renewals.domains_being_freed.add("a")
+        return await propose(command)
+
+    system.clock.advance(TERM_SECONDS * 1.02)
+    system.log.propose = propose_late  # type: ignore[method-assign]
+    await system.plan()
+    assert not (await system.report("a")).confirmed
