Confirm leaves and publications only in the term of their leader

Cause: between an election and the start of the term the servers and the positions of entries are those of an earlier term of the replica. No entry counts as lagging then, so leaves and publications were confirmed at once, and a leave without an incarnation was taken for one that had ended.

Tests: test_a_leave_is_not_confirmed_before_the_term_of_its_leader_has_begun, test_a_leave_without_incarnation_is_of_the_newest_one_in_the_log and test_a_publication_is_waited_for_before_the_term_of_its_leader_has_begun fail on the code before. Found by reading.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -130,6 +130,8 @@
         :raises UnknownResultError: the result is not known
         """
         self.check_leading()
+        if not await self._wait_until_led(LEAVE_TIMEOUT_SECONDS):
+            raise LeaveNotFollowedError("this leader does not serve entries yet")
         member = self.fleet.directory.members.get(identity)
         if incarnation is None:
             incarnation = member.heartbeat.incarnation if member is not None else 0
@@ -169,7 +171,8 @@
         if (domain in self.fleet.state.tables.evacuated_domains) != evacuated:
             self._check_replicas()
             await self._write_evacuation(domain, evacuated)
-        await self._wait_until_led()
+        if not await self._wait_until_led(LEAVE_TIMEOUT_SECONDS):
+            raise EvacuationNotFollowedError("this leader does not serve entries yet")
         position = self.fleet.evacuation_position()
         if not await self._are_watchers_following(position, LEAVE_TIMEOUT_SECONDS):
             if self.fleet.clock.now() - request.asked_at < LEAVE_PATIENCE_SECONDS:
@@ -235,19 +238,25 @@
             raise NotLeadingError(self.log.leader_address()) from error
         await replica.wait_applied(index)
 
-    async def _wait_until_led(self) -> None:
+    async def _wait_until_led(self, timeout: float) -> bool:
         """Wait until this replica sends its own state to entries in the current term.
 
-        Before that, no entry can have a command of this term, and none counts as lagging.
+        Before that, the servers are those of an earlier term of this replica, no entry can have a
+        command of this term, and none counts as lagging.
+
+        :param timeout: maximum seconds to wait
+        :returns: whether it does now
+        :raises NotLeadingError: the leadership ended meanwhile
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + LEAVE_TIMEOUT_SECONDS
+        deadline = loop.time() + timeout
         while self.fleet.led_term != self.log.replica.term:
             self.check_leading()
             remaining = deadline - loop.time()
             if remaining <= 0:
-                raise EvacuationNotFollowedError("this leader does not serve entries yet")
+                return False
             await wait_until_set(self.fleet.changed, remaining)
+        return True
 
     def _check_domain(self, domain: str) -> None:
         early = {heartbeat.domain for heartbeat in self.early_heartbeats.values()}
@@ -350,8 +359,11 @@
 
         :raises NotLeadingError: the leadership ended meanwhile
         """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + PUBLICATION_TIMEOUT_SECONDS
+        await self._wait_until_led(PUBLICATION_TIMEOUT_SECONDS)
         position = self.fleet.publication_position()
-        if not await self._are_watchers_following(position, PUBLICATION_TIMEOUT_SECONDS):
+        if not await self._are_watchers_following(position, deadline - loop.time()):
             self._log_early_confirmation(position)
 
     async def _are_watchers_following(self, position: tuple[int, int], timeout: float) -> bool:
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
@@ -389,6 +389,62 @@
         await confirmation
 
 
+async def test_a_leave_is_not_confirmed_before_the_term_of_its_leader_has_begun(
+    new_simulation: Any,
+) -> None:
+    """Guards against requests to a server whose leave was confirmed right after an election.
+
+    The state of an earlier term of the replica was still in place, in which no entry lags.
+    """
+    simulation = new_simulation(1)
+    operations = operations_of(simulation)
+    server = simulation.servers["s0"]
+    await operations.handle_heartbeat(server.heartbeat())
+    await entries_of(simulation, 1)
+    simulation.fleet.end_term()
+    simulation.log.replica.term += 2
+    with pytest.raises(LeaveNotFollowedError):
+        await operations.handle_heartbeat(server.heartbeat(is_leaving=True))
+
+
+async def test_a_leave_without_incarnation_is_of_the_newest_one_in_the_log(
+    new_simulation: Any,
+) -> None:
+    """Guards against a leave that is confirmed for an incarnation that has ended.
+
+    Right after an election the servers were those of an earlier term of the replica.
+    """
+    simulation = new_simulation(1)
+    operations = operations_of(simulation)
+    server = simulation.servers["s0"]
+    await operations.handle_heartbeat(server.heartbeat())
+    simulation.fleet.end_term()
+    simulation.log.replica.term += 2
+    server.restart()
+    record = server.heartbeat().to_record()
+    await simulation.log.propose(control_pb2.Command(record_server=record))
+    leave = await start(operations.retire("s0", None))
+    simulation.clock.advance(REACHABILITY_SECONDS)
+    simulation.fleet.start_term(simulation.log.replica.term)
+    simulation.clock.advance(REACHABILITY_SECONDS)
+    await leave
+    assert simulation.state.ranges.is_retired("s0", server.incarnation)
+
+
+async def test_a_publication_is_waited_for_before_the_term_of_its_leader_has_begun(
+    new_simulation: Any,
+) -> None:
+    """Guards against a route that is confirmed right after an election and then not found."""
+    simulation = new_simulation(1)
+    operations = operations_of(simulation)
+    await entries_of(simulation, 1)
+    simulation.fleet.end_term()
+    simulation.log.replica.term += 2
+    confirmation = await start(operations.publish(publication(2), b"{}"))
+    assert not confirmation.done()
+    assert await confirmation == 2
+
+
 async def test_entries_of_the_previous_leader_are_waited_for(new_simulation: Any) -> None:
     """Guards against a new leader that confirms a leave before the entries have found it."""
     simulation = new_simulation(1)
