Keep no heartbeats from before the first publication for a later term

Cause: a leader keeps heartbeats until the first publication. It kept them when it lost its leadership, and recorded them when it led again and published, after their servers may have ended.

Change: they count in the term in which they arrived.

Test: test_a_heartbeat_before_the_first_publication_counts_in_its_term_only fails on the code before. Found by reading.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -74,6 +74,7 @@
     __slots__ = (
         "control",
         "early_heartbeats",
+        "early_term",
         "evacuation_requests",
         "fleet",
         "leave_requests",
@@ -94,8 +95,10 @@
         self.leave_requests: dict[tuple[str, int], LeaveRequest] = {}
         #: Commands to start or end an evacuation that are not confirmed yet, by domain.
         self.evacuation_requests: dict[str, EvacuationRequest] = {}
-        #: Newest heartbeats before the first publication, by identity.
+        #: Newest heartbeats before the first publication, by identity, and the term in which they
+        #: arrived.
         self.early_heartbeats: dict[str, ServerHeartbeat] = {}
+        self.early_term = 0
         #: Identities and pools of refused heartbeats, oldest first.
         self.refused: dict[tuple[str, str], None] = {}
 
@@ -259,6 +262,7 @@
         return True
 
     def _check_domain(self, domain: str) -> None:
+        self._drop_early_of_other_terms()
         early = {heartbeat.domain for heartbeat in self.early_heartbeats.values()}
         if domain in early or domain in known_domains(self.log, self.fleet):
             return
@@ -313,11 +317,19 @@
         """Keep a heartbeat until the first publication tells whether its pool exists."""
         if heartbeat.is_leaving:
             raise NotPublishedError("nothing was published yet")
+        self._drop_early_of_other_terms()
         self.early_heartbeats[heartbeat.identity] = heartbeat
         while len(self.early_heartbeats) > MAX_EARLY_HEARTBEAT_COUNT:
             del self.early_heartbeats[next(iter(self.early_heartbeats))]
 
+    def _drop_early_of_other_terms(self) -> None:
+        """Drop the heartbeats of an earlier term, whose servers may have ended meanwhile."""
+        if self.early_term != self.log.replica.term:
+            self.early_heartbeats.clear()
+            self.early_term = self.log.replica.term
+
     def _record_early(self, publication: Publication) -> None:
+        self._drop_early_of_other_terms()
         for heartbeat in self.early_heartbeats.values():
             if heartbeat.pool in publication.pools:
                 self._record_heartbeat(heartbeat)
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
@@ -131,6 +131,20 @@
     assert set(simulation.fleet.directory.members) == {"s0"}
 
 
+async def test_a_heartbeat_before_the_first_publication_counts_in_its_term_only(
+    new_simulation: Any,
+) -> None:
+    """Guards against requests and keys for a server that ended while another replica led."""
+    simulation = new_simulation(1)
+    simulation.state.publication = control_pb2.Publish()
+    operations = operations_of(simulation)
+    await operations.handle_heartbeat(simulation.servers["s0"].heartbeat())
+    simulation.log.replica.term += 2
+    simulation.fleet.start_term(simulation.log.replica.term)
+    await operations.publish(publication(2), b"{}")
+    assert not simulation.fleet.directory.members
+
+
 @pytest.mark.parametrize(
     "changes", [{"domain": "d\ud800"}, {"incarnation": 1 << 64}, {"port": 1 << 40}, {"slots": "3"}]
 )
