Refuse heartbeats and leaves that lack a field

Cause of its acceptance: version was never read, and a missing slow_start_s_time counted as 0. The call of a leaving server with a body that could not be read counted for the newest incarnation.

Change: all fields of a heartbeat must be there and valid; a body of a leaving server must name its incarnation.

Tests: test_a_heartbeat_without_a_field_is_refused fails before for version and slow_start_s_time. test_a_malformed_call_of_a_leaving_server_names_no_ incarnation asserted that a malformed body names no incarnation, which made it a leave of the newest one; test_a_malformed_call_of_a_leaving_server_is_ refused replaces it and is stricter.

--- a/tests/platform_adapter/test_control_listener.py
+++ b/tests/platform_adapter/test_control_listener.py
@@ -27,8 +27,10 @@
     "upstream": "rolls",
     "address": "10.128.0.9:8080",
     "zone": "north",
+    "version": "v1",
     "slots": 4,
     "state": "ready",
+    "slow_start_s_time": 0,
     "sequence": 4,
     "born": 17,
 }
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -98,6 +98,11 @@
         {"slow_start_s_time": 10**400},
         {"slow_start_s_time": float("inf")},
         {"slow_start_s_time": float("nan")},
+        {"slow_start_s_time": -1},
+        {"version": 7},
+        {"version": ""},
+        {"state": ["ready"]},
+        {"zone": None},
     ],
 )
 def test_a_heartbeat_with_an_invalid_field_is_refused(changes: dict[str, Any]) -> None:
@@ -106,6 +111,14 @@
         formats.parse_heartbeat("i-1", json.dumps({**HEARTBEAT, **changes}).encode())
 
 
+@pytest.mark.parametrize("name", sorted(HEARTBEAT))
+def test_a_heartbeat_without_a_field_is_refused(name: str) -> None:
+    """Guards against a server that is replaced by a heartbeat of another writer (review/7)."""
+    fields = {key: value for key, value in HEARTBEAT.items() if key != name}
+    with pytest.raises(InvalidNoticeError):
+        formats.parse_heartbeat("i-1", json.dumps(fields).encode())
+
+
 NESTED = b'{"a":' * 100_000 + b"1" + b"}" * 100_000
 MALFORMED = [b"", b"[]", b"null", b"\xff\xfe", b'{"upstream":', b"[" * 100_000, NESTED]
 
@@ -193,10 +206,22 @@
         formats.parse_publication(source)
 
 
-@pytest.mark.parametrize("body", MALFORMED, ids=lambda body: repr(body[:12]))
-def test_a_malformed_call_of_a_leaving_server_names_no_incarnation(body: bytes) -> None:
-    """Guards against an unexpected exception for a malformed body."""
-    assert formats.parse_incarnation(body) is None
+@pytest.mark.parametrize(
+    "body", [*MALFORMED[1:], b"{}", b'{"born":"1"}'], ids=lambda body: repr(body[:12])
+)
+def test_a_malformed_call_of_a_leaving_server_is_refused(body: bytes) -> None:
+    """Guards against a server that is retired by a call of another writer.
+
+    A malformed body counted as a call without one, which is about the newest incarnation.
+    """
+    with pytest.raises(InvalidNoticeError):
+        formats.parse_incarnation(body)
+
+
+def test_a_call_of_a_leaving_server_may_have_no_body() -> None:
+    """Guards against a leaving server whose call is refused."""
+    assert formats.parse_incarnation(b"") is None
+    assert formats.parse_incarnation(b'{"born": 17}') == 17
 
 
 def test_an_ipv6_address_is_read_without_brackets() -> None:
