Ask at an address before its server counts as ended

Cause: a heartbeat of a later server at an address counted as proof that the former one had ended. It proves nothing about another server.

Change: such a heartbeat is a claim while the other server may own keys. The leader releases a single key at the address, on a connection of its own, in a call that names the known server. Only an answer by another server ends it. Related paths: a renewal that was answered as misdirected on a shared connection is repeated on its own connection, since the answer may be a late copy; an incarnation stays at its address; the end of a later incarnation says nothing about an earlier one; outdated heartbeats write no record.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/exceptions.py
@@ -113,6 +113,13 @@
     outcome = Outcome.NOT_RUN
 
 
+class AnotherServerError(ServerNotReachedError):
+    """Another server has answered at the address, on a connection of its own for the call."""
+
+    code = "another_server"
+    outcome = Outcome.NOT_RUN
+
+
 class GrantOutdatedError(ServerCallError):
     """The grant was no longer in force when its connection was ready, so nothing was sent."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_operations.py
@@ -336,6 +336,13 @@
         self.early_heartbeats.clear()
 
     def _record_heartbeat(self, heartbeat: ServerHeartbeat) -> None:
+        if self.fleet.is_contested(heartbeat):
+            # The leader asks at the address; the server is recorded with a later heartbeat.
+            if self.fleet.claims.add(heartbeat):
+                events.ADDRESS_CLAIMED.log(
+                    server=heartbeat.identity, address=heartbeat.ip, port=heartbeat.port
+                )
+            return
         if self.fleet.directory.record_heartbeat(heartbeat):
             events.SERVER_JOINED.log(
                 server=heartbeat.identity,
@@ -348,7 +355,9 @@
         changed = self.fleet.directory.update_cold(heartbeat)
         if changed is not None:
             self.fleet.limits.cold_changed(changed)
-        self._record_server(heartbeat)
+        if self.fleet.directory.is_current(heartbeat):
+            # An outdated one would replace the record of the server that has its address now.
+            self._record_server(heartbeat)
 
     def _leave_request(self, identity: str, incarnation: int) -> LeaveRequest:
         """Return the first request of a server to leave in this term.
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -10,6 +10,7 @@
 from medlarpass.capacity import ServerCapacity
 from medlarpass.dispatch import PoolDemands
 from medlarpass.dispatch import ServerWeights
+from medlarpass.fleet import AddressClaims
 from medlarpass.fleet import FleetDirectory
 from medlarpass.fleet import FleetMember
 from medlarpass.fleet import ServerHeartbeat
@@ -28,6 +29,7 @@
 from medlarpass_daemon.publication_parts import pack_publication
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from medlarpass import Clock
@@ -50,6 +52,7 @@
     __slots__ = (
         "capacity",
         "changed",
+        "claims",
         "clock",
         "confirmed_fences",
         "demands",
@@ -64,6 +67,7 @@
         "led_term",
         "limits",
         "loads",
+        "may_own_keys",
         "moving",
         "packed_parts",
         "parsed_publication",
@@ -80,6 +84,10 @@
         self.state = state
         self.clock = clock
         self.directory = FleetDirectory(clock)
+        #: Claims to the addresses of servers that may own keys.
+        self.claims = AddressClaims()
+        #: Returns whether the server with an identity may own keys; set by the leader's grants.
+        self.may_own_keys: Callable[[str], bool] = lambda _: False
         self.loads: dict[str, PoolLoads] = {}
         self.speeds = ServerSpeeds()
         #: Requests per second that each server can handle.
@@ -128,6 +136,7 @@
         and keys may have moved while another replica led.
         """
         self.directory = FleetDirectory(self.clock)
+        self.claims = AddressClaims()
         self.loads.clear()
         self.speeds = ServerSpeeds()
         self.capacity = ServerCapacity()
@@ -187,6 +196,11 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def is_contested(self, heartbeat: ServerHeartbeat) -> bool:
+        """Return whether a heartbeat names the address of another server that may own keys."""
+        claimed = self.directory.claimed_member(heartbeat)
+        return claimed is not None and self.may_own_keys(claimed.heartbeat.identity)
+
     def servers_changed(self) -> None:
         """Mark the servers in the feed as outdated."""
         self.has_new_servers = True
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_grants.py
@@ -13,6 +13,7 @@
 from medlarpass.ranges import RangeAssignment
 from medlarpass.rpc import control_pb2
 from medlarpass_daemon.control.fleet import events
+from medlarpass_daemon.control.fleet.exceptions import AnotherServerError
 from medlarpass_daemon.control.fleet.exceptions import GrantOutdatedError
 from medlarpass_daemon.control.fleet.exceptions import HigherFenceError
 from medlarpass_daemon.control.fleet.exceptions import LeaseNotHeldError
@@ -22,9 +23,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
+    from collections.abc import Iterator
 
     from medlarpass import Clock
     from medlarpass.fleet import FleetMember
+    from medlarpass.fleet import ServerHeartbeat
     from medlarpass_daemon.control.fleet.fleet_state import FleetState
     from medlarpass_daemon.control.fleet.leader_lease import LeaderLease
     from medlarpass_daemon.control.fleet.server_calls import ServerCalls
@@ -67,6 +70,7 @@
 
     __slots__ = (
         "calls",
+        "checked_addresses",
         "clock",
         "expired_fences",
         "expiry",
@@ -118,7 +122,10 @@
         self.failed_at: dict[tuple[str, int], float] = {}
         #: Time at which a server could not be reached, by identity and incarnation.
         self.unreachable_at: dict[tuple[str, int], float] = {}
+        #: Addresses whose claims are being checked.
+        self.checked_addresses: set[tuple[str, int]] = set()
         self.tasks: set[asyncio.Task[None]] = set()
+        fleet.may_own_keys = self.may_own_keys
 
     def start_term(self) -> None:
         """Start as a new leader, assuming that the previous one renewed every grant until now."""
@@ -137,6 +144,7 @@
         self.unreachable_at.clear()
         self.expired_fences.clear()
         self.pending_fences.clear()
+        self.checked_addresses.clear()
 
     def retain(self, fences: set[int]) -> None:
         """Remove the assignments that are no longer in the table."""
@@ -155,6 +163,69 @@
         """Return whether it is not known yet who owns the keys of a fence."""
         return fence in self.pending_fences or fence not in self.known_fences
 
+    def may_own_keys(self, identity: str) -> bool:
+        """Return whether a server may own keys by a grant of this or an earlier leader."""
+        return next(self._possibly_owned(identity), None) is not None
+
+    def check_claims(self) -> None:
+        """Ask at the addresses that several servers name as their own."""
+        for address, claim in list(self.fleet.claims.pending.items()):
+            if address not in self.checked_addresses:
+                self.checked_addresses.add(address)
+                self._spawn(self._check_claim(claim))
+
+    async def _check_claim(self, claim: ServerHeartbeat) -> None:
+        """Find out whether the server whose address another one names has ended."""
+        try:
+            claimed = self.fleet.directory.claimed_member(claim)
+            key = None if claimed is None else self._single_key_of(claimed)
+            if claimed is None or key is None:
+                # The server has no keys any more; the next heartbeat is recorded as usual.
+                self.fleet.claims.drop(claim)
+            elif await self._has_ended(claimed, key):
+                self.fleet.claims.drop(claim)
+                self.fleet.directory.replace(claim)
+                self.fleet.servers_changed()
+                events.CLAIM_PROVED.log(server=claim.identity, ended=key.identity)
+            else:
+                self.fleet.claims.refute(claim)
+                events.CLAIM_REFUTED.log(server=claim.identity, owner=key.identity)
+        except MedlarpassError as error:
+            # The next heartbeat of the claimant leads to another check.
+            self.fleet.claims.drop(claim)
+            events.CLAIM_NOT_CHECKED.log(server=claim.identity, code=error.code)
+        finally:
+            self.checked_addresses.discard(claim.address)
+
+    async def _has_ended(self, claimed: FleetMember, key: RangeAssignment) -> bool:
+        """Return whether another server answers at the address of a server.
+
+        The release of a single key names the server that is meant. It changes little there, since
+        the next renewal returns the key, and nothing at a later incarnation.
+
+        :raises MedlarpassError: there was no answer, or the lease is not held
+        """
+        async with self.locks.setdefault(key.identity, asyncio.Lock()):
+            self._check_lease()
+            self.renewed_at.pop((key.fence, key.first), None)
+            try:
+                await self.calls.release(
+                    claimed.heartbeat, key, GRANT_TIMEOUT_SECONDS, shares_connection=False
+                )
+            except AnotherServerError:
+                return True
+            return False
+
+    def _single_key_of(self, member: FleetMember) -> RangeAssignment | None:
+        """Return the first key that a server may own, as a part of its assignment."""
+        owned = next(self._possibly_owned(member.heartbeat.identity), None)
+        return None if owned is None else owned.with_bounds(owned.first, owned.first)
+
+    def _possibly_owned(self, identity: str) -> Iterator[RangeAssignment]:
+        for assignment in self.fleet.state.ranges.all():
+            if assignment.identity == identity and not self.expiry.is_expired(assignment.fence):
+                yield assignment
+
     def record_loss(self, assignment: RangeAssignment, reason: str) -> None:
         """Record that a server certainly no longer owns its keys."""
         if assignment.fence in self.expired_fences:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/range_keeper.py
@@ -148,6 +148,7 @@
         if self.is_balance_due:
             self.balanced_at = now
             self.fleet.limits.update()
+        self.grants.check_claims()
         self.evacuations.begin_step()
         for pool in self.fleet.owned_pools():
             await self._reconcile_pool(pool)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/server_calls.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/server_calls.py
@@ -38,7 +38,7 @@
         :param timeout: seconds until the call is aborted
         :param needs_proof: whether nothing but the response to this call may count as one
         :param is_in_force: checked right before the call is written
-        :raises ServerNotReachedError: nothing was sent
+        :raises ServerNotReachedError: nothing was sent, or another server listens at the address
         :raises GrantOutdatedError: the grant was no longer in force; nothing was sent
         :raises ServerCallLostError: the grant may still take effect
         :raises HigherFenceError: the server has seen a higher fence
@@ -59,6 +59,7 @@
         :param shares_connection: whether an open connection may be used, which spares a busy
             server the acceptance of a new one
         :returns: handover that lets the next owner take over without a cold start
+        :raises AnotherServerError: another server listens at the address; only without sharing
         :raises ServerCallError: the server may still run requests for the keys
         """
         ...
--- a/packages/medlarpass-daemon/tests/control/fleet/conftest.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/conftest.py
@@ -18,6 +18,7 @@
 from medlarpass.ranges import KEY_COUNT
 from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
+from medlarpass_daemon.control.fleet.exceptions import AnotherServerError
 from medlarpass_daemon.control.fleet.exceptions import GrantOutdatedError
 from medlarpass_daemon.control.fleet.exceptions import HigherFenceError
 from medlarpass_daemon.control.fleet.exceptions import ServerCallLostError
@@ -58,6 +59,7 @@
         self.identity = identity
         self.clock = clock
         self.incarnation = 1
+        self.port = int(identity[1:]) + 1
         self.sequence = 0
         self.is_up = True
         self.is_unreachable = False
@@ -85,7 +87,7 @@
             self.sequence,
             POOL,
             "10.0.0.1",
-            int(self.identity[1:]) + 1,
+            self.port,
             self.domain,
             3,
             is_leaving,
@@ -336,6 +338,9 @@
 
     def receive(self, heartbeat: ServerHeartbeat) -> None:
         """Record a heartbeat as the leader does."""
+        if self.fleet.is_contested(heartbeat):
+            self.fleet.claims.add(heartbeat)
+            return
         self.fleet.directory.record_heartbeat(heartbeat)
         changed = self.fleet.directory.update_cold(heartbeat)
         if changed is not None:
@@ -349,9 +354,14 @@
 
     def reach(self, server: ServerHeartbeat) -> SimulatedServer:
         """Return the server that a call reaches; calls name an identity, not an incarnation."""
-        target = self.servers[server.identity]
-        if not target.is_up or target.is_unreachable:
+        target = next(
+            (known for known in self.servers.values() if known.is_up and known.port == server.port),
+            None,
+        )
+        if target is None or target.is_unreachable:
             raise ServerNotReachedError(server.identity)
+        if target.identity != server.identity:
+            raise AnotherServerError(server.identity)
         return target
 
     def owners(self, key: int) -> list[str]:
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
@@ -10,6 +10,7 @@
 import pytest
 
 from medlarpass.fleet import ServerHeartbeat
+from medlarpass.ranges import KEY_COUNT
 from medlarpass.rpc import control_pb2
 from medlarpass.rpc import fleet_pb2
 from medlarpass_daemon.control.fleet.exceptions import InvalidNoticeError
@@ -25,6 +26,9 @@
 from medlarpass_daemon.control.fleet.watchers import REACHABILITY_SECONDS
 from medlarpass_daemon.control.fleet.watchers import RETURN_SECONDS
 
+#: Validity of a grant in the simulation.
+GRANT_LEASE_SECONDS = 4.0
+
 
 def operations_of(simulation: Any, voters: int = 5, tolerated_losses: int = 1) -> FleetOperations:
     """Return the operations of the simulated replica."""
@@ -114,6 +118,103 @@
     assert not simulation.state.ranges.is_retired(identity, 1)
 
 
+def heartbeat_of_a_claimant(known: ServerHeartbeat) -> ServerHeartbeat:
+    """Return a valid heartbeat of another server that names the address of a known one."""
+    return ServerHeartbeat(
+        "other", 99, 1, known.pool, known.ip, known.port, known.domain, 3, False, 0.0
+    )
+
+
+async def test_a_heartbeat_is_no_proof_that_another_server_has_ended(new_simulation: Any) -> None:
+    """Guards against two owners after a heartbeat with the address of a live server (review/7).
+
+    Its keys were granted to others at once, and its own heartbeats counted as outdated.
+    """
+    simulation = new_simulation(3)
+    operations = operations_of(simulation)
+    await simulation.run(2)
+    owner = simulation.servers["s0"]
+    owned = [key for key in range(0, KEY_COUNT, 997) if owner.owns(key)]
+    await operations.handle_heartbeat(heartbeat_of_a_claimant(owner.heartbeat()))
+    await simulation.run(3)
+    assert simulation.state.ranges.last_fence == 3
+    assert [key for key in range(0, KEY_COUNT, 997) if owner.owns(key)] == owned
+    assert simulation.fleet.directory.has_joined(owner.heartbeat())
+    assert "other" not in simulation.fleet.directory.members
+
+
+async def test_a_refuted_claim_is_not_checked_again(new_simulation: Any) -> None:
+    """Guards against a release at a live server for each heartbeat that names its address."""
+    simulation = new_simulation(3)
+    operations = operations_of(simulation)
+    await simulation.run(2)
+    claimant = heartbeat_of_a_claimant(simulation.servers["s0"].heartbeat())
+    await operations.handle_heartbeat(claimant)
+    await simulation.run(1)
+    assert simulation.fleet.claims.refuted
+    claimant.sequence += 1
+    await operations.handle_heartbeat(claimant)
+    assert not simulation.fleet.claims.pending
+
+
+async def test_the_keys_of_a_server_whose_address_is_used_again_are_free_at_once(
+    new_simulation: Any,
+) -> None:
+    """Guards against waiting for the lease of a server that has certainly ended."""
+    simulation = new_simulation(4)
+    operations = operations_of(simulation)
+    successor = simulation.servers.pop("s3")
+    await simulation.run(2)
+    ended = simulation.servers["s0"]
+    ended.is_up = False
+    simulation.servers["s3"] = successor
+    successor.port, successor.incarnation = ended.port, 2
+    successor.silent_until = simulation.clock.now() + 60
+    await operations.handle_heartbeat(successor.heartbeat())
+    await simulation.run(0.5)
+    assert simulation.count_unowned() == 0
+    await operations.handle_heartbeat(successor.heartbeat())
+    assert simulation.fleet.directory.has_joined(successor.heartbeat())
+
+
+async def test_a_claim_is_not_proved_without_an_answer(new_simulation: Any) -> None:
+    """Guards against two owners when nothing answers at an address that two servers name."""
+    simulation = new_simulation(3)
+    operations = operations_of(simulation)
+    await simulation.run(2)
+    owner = simulation.servers["s0"]
+    owner.is_unreachable = True
+    claimant = heartbeat_of_a_claimant(owner.heartbeat())
+    for _ in range(4):
+        claimant.sequence += 1
+        await operations.handle_heartbeat(claimant)
+        await simulation.run(0.5)
+    assert "other" not in simulation.fleet.directory.members
+    # Without an answer the lease of the keys decides.
+    await simulation.run(GRANT_LEASE_SECONDS)
+    assert simulation.count_unowned() == 0
+    claimant.sequence += 1
+    await operations.handle_heartbeat(claimant)
+    assert "other" in simulation.fleet.directory.members
+
+
+async def test_an_outdated_heartbeat_replaces_no_record(new_simulation: Any) -> None:
+    """Guards against a new leader that looks for a server which has ended.
+
+    A late heartbeat replaced the record of the server that has the address now.
+    """
+    simulation = new_simulation(2)
+    operations = operations_of(simulation)
+    former, successor = simulation.servers.values()
+    successor.port, successor.incarnation = former.port, 2
+    late = former.heartbeat()
+    await operations.handle_heartbeat(successor.heartbeat())
+    await asyncio.sleep(0)
+    await operations.handle_heartbeat(late)
+    await asyncio.sleep(0)
+    assert [record.identity for record in simulation.state.servers.all()] == ["s1"]
+
+
 async def test_a_heartbeat_before_the_first_publication_counts_once_its_pool_is_known(
     new_simulation: Any,
 ) -> None:
--- a/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_range_keeper.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from medlarpass.fleet import ServerHeartbeat
 from medlarpass.ranges import KEY_COUNT
 from medlarpass.replication import NotLeaderError
 from medlarpass.rpc import control_pb2
@@ -557,6 +558,7 @@
     [
         *((seed, RANDOM_FAULTS) for seed in [*range(12), 136]),
         *((seed, [*RANDOM_FAULTS, "late restart"]) for seed in range(200, 212)),
+        *((seed, [*RANDOM_FAULTS, "claim", "reuse"]) for seed in range(300, 324)),
     ],
 )
 async def test_random_faults_never_give_a_key_two_owners(
@@ -587,6 +589,10 @@
             simulation.fleet.directory.retire(server.identity, incarnation)
         elif fault == "leader":
             simulation.change_leader()
+        elif fault == "claim":
+            simulation.receive(heartbeat_of_claimant(simulation, server))
+        elif fault == "reuse":
+            reuse_address(simulation, server)
         await simulation.run(simulation.rng.uniform(0.1, 2.5))
     simulation.loss_ratio = 0.0
     for server in simulation.servers.values():
@@ -596,6 +602,26 @@
     assert simulation.count_unowned() == 0
 
 
+def heartbeat_of_claimant(simulation: Any, server: Any) -> ServerHeartbeat:
+    """Return the heartbeat of a server that does not exist, with the address of another one."""
+    known = server.heartbeat()
+    incarnation = simulation.rng.randrange(1, 100)
+    return ServerHeartbeat(
+        "other", incarnation, 1, known.pool, known.ip, known.port, known.domain, 3, False, 0.0
+    )
+
+
+def reuse_address(simulation: Any, server: Any) -> None:
+    """End a server, and start another one at its address that has ended before."""
+    other = simulation.rng.choice(list(simulation.servers.values()))
+    if other is not server:
+        other.is_up = False
+        server.is_up = False
+        server.port, other.port = other.port, server.port
+        other.incarnation = max(known.incarnation for known in simulation.servers.values())
+        other.restart()
+
+
 def divide_keys(simulation: Any, count: int) -> None:
     """Divide the keys into ranges that are assigned to the servers in turn."""
     size = KEY_COUNT // count
--- a/packages/medlarpass/src/medlarpass/fleet/fleet_directory.py
+++ b/packages/medlarpass/src/medlarpass/fleet/fleet_directory.py
@@ -40,16 +40,17 @@
         known = self.members.get(heartbeat.identity)
         if known is not None and not _is_newer(heartbeat, known.heartbeat):
             return False
+        is_known = known is not None and known.heartbeat.incarnation == heartbeat.incarnation
+        if known is not None and is_known and known.heartbeat.address != heartbeat.address:
+            # An incarnation stays at its address; calls to another one would not reach it.
+            return False
         if not self._claim_address(heartbeat):
             return False
-        if known is not None and known.heartbeat.incarnation == heartbeat.incarnation:
-            has_moved = (
-                known.heartbeat.address != heartbeat.address
-                or known.heartbeat.pool != heartbeat.pool
-            )
+        if known is not None and is_known:
+            has_new_pool = known.heartbeat.pool != heartbeat.pool
             known.heartbeat = heartbeat
             known.seen_at = now
-            return has_moved
+            return has_new_pool
         self.members[heartbeat.identity] = FleetMember(heartbeat, now)
         return True
 
@@ -59,11 +60,31 @@
         :returns: the server if entries have to be told, else None
         """
         member = self.members.get(heartbeat.identity)
-        if member is None or member.heartbeat is not heartbeat:
+        if member is None or not self.is_current(heartbeat):
             return None
         has_change = member.cold.update(heartbeat.warmup_seconds, self.clock.now())
         return member if has_change else None
 
+    def is_current(self, heartbeat: ServerHeartbeat) -> bool:
+        """Return whether a heartbeat is the newest of its server, as recorded."""
+        member = self.members.get(heartbeat.identity)
+        return member is not None and member.heartbeat is heartbeat
+
+    def claimed_member(self, heartbeat: ServerHeartbeat) -> FleetMember | None:
+        """Return the server whose address a heartbeat names as its own, if another one has it.
+
+        None as well if the heartbeat is older than that server and thus outdated.
+        """
+        claim = self.addresses.get(heartbeat.address)
+        if claim is None or claim[0] == heartbeat.identity or claim[1] >= heartbeat.incarnation:
+            return None
+        member = self.members.get(claim[0])
+        return member if member is not None and not self.is_replaced(member) else None
+
+    def replace(self, heartbeat: ServerHeartbeat) -> None:
+        """Record that the server at an address has ended and the sender of a heartbeat has it."""
+        self.addresses[heartbeat.address] = (heartbeat.identity, heartbeat.incarnation)
+
     def has_joined(self, heartbeat: ServerHeartbeat) -> bool:
         """Return whether the incarnation that sent a heartbeat is known in the same pool."""
         known = self.members.get(heartbeat.identity)
@@ -112,13 +133,15 @@
     def has_ended(self, identity: str, incarnation: int) -> bool:
         """Return whether an incarnation has certainly ended and no later one can have its grants.
 
-        That is the case once another server has its address. A restart under the same identity is
-        no such proof, since the new incarnation may have accepted renewals meant for the old one.
+        That is the case once another server has its address, which for a server with keys must
+        have been shown by an answer from there. A restart under the same identity is no such proof,
+        since the new incarnation may have accepted renewals meant for the old one, and says nothing
+        about the address of the old one.
         """
         member = self.members.get(identity)
         return (
             member is not None
-            and member.heartbeat.incarnation >= incarnation
+            and member.heartbeat.incarnation == incarnation
             and self.is_replaced(member)
         )
 
--- a/packages/medlarpass/tests/fleet/test_fleet_directory.py
+++ b/packages/medlarpass/tests/fleet/test_fleet_directory.py
@@ -70,3 +70,22 @@
     directory.record_heartbeat(heartbeat("a", incarnation=1))
     directory.record_heartbeat(heartbeat("b", incarnation=2))
     assert [member.heartbeat.identity for member in directory.current()] == ["b"]
+
+
+def test_an_incarnation_stays_at_its_address() -> None:
+    """Guards against calls to another server after a heartbeat that names its address."""
+    directory = FleetDirectory(ManualClock())
+    directory.record_heartbeat(heartbeat("a", sequence=1))
+    assert not directory.record_heartbeat(heartbeat("a", sequence=2, port=81))
+    assert directory.members["a"].heartbeat.port == 80
+    assert not directory.is_replaced(directory.members["a"])
+
+
+def test_the_end_of_a_later_incarnation_is_no_proof_of_the_end_of_the_earlier_one() -> None:
+    """Guards against two owners: the earlier incarnation was at another address."""
+    directory = FleetDirectory(ManualClock())
+    directory.record_heartbeat(heartbeat("a", incarnation=1))
+    directory.record_heartbeat(heartbeat("a", incarnation=2, port=81))
+    directory.record_heartbeat(heartbeat("b", incarnation=3, port=81))
+    assert directory.has_ended("a", 2)
+    assert not directory.has_ended("a", 1)
--- a/tests/platform_adapter/test_platform_server_calls.py
+++ b/tests/platform_adapter/test_platform_server_calls.py
@@ -14,6 +14,7 @@
 from medlarpass.fleet import ServerHeartbeat
 from medlarpass.ranges import RangeAssignment
 from medlarpass_daemon import bounded_connector
+from medlarpass_daemon.control.fleet.exceptions import AnotherServerError
 from medlarpass_daemon.control.fleet.exceptions import GrantOutdatedError
 from medlarpass_daemon.control.fleet.exceptions import HigherFenceError
 from medlarpass_daemon.control.fleet.exceptions import ServerCallLostError
@@ -39,6 +40,8 @@
         self.peers: set[Any] = set()
         self.expected_instance = ""
         self.status = 200
+        #: Statuses of the next responses, before the one above.
+        self.statuses: list[int] = []
         self.is_unresponsive = False
         self.port = 0
 
@@ -59,7 +62,8 @@
         self.expected_instance = request.headers["Medlarpass-Expected-Instance"]
         if self.is_unresponsive:
             await asyncio.sleep(3600)
-        return web.Response(status=self.status, headers={"Medlarpass-Handover": "5c0e"})
+        status = self.statuses.pop(0) if self.statuses else self.status
+        return web.Response(status=status, headers={"Medlarpass-Handover": "5c0e"})
 
     def heartbeat(self, port: int | None = None) -> ServerHeartbeat:
         return ServerHeartbeat("i-1", 1, 1, "p", "127.0.0.1", port or self.port, "d", 3, False, 0.0)
@@ -364,3 +368,30 @@
     for _ in range(12):
         await calls.grant(server.heartbeat(), ASSIGNMENT, 4.0, "", 20, False, is_in_force)
     assert len(server.peers) == 1
+
+
+async def test_a_misdirected_renewal_is_repeated_on_a_connection_of_its_own(
+    server: FakeServer, calls: PlatformServerCalls
+) -> None:
+    """Guards against a grant that took effect and counts as not sent.
+
+    The response may be a late copy of that to a call which was meant for an earlier server at the
+    address.
+    """
+    server.statuses = [421, 200]
+    await calls.grant(server.heartbeat(), ASSIGNMENT, 4.0, "", 20, False, is_in_force)
+    assert len(server.calls) == 2
+    assert len(server.peers) == 2
+
+
+async def test_another_server_is_known_by_a_connection_of_its_own_only(
+    server: FakeServer, calls: PlatformServerCalls
+) -> None:
+    """Guards against keys that are free because of a late copy of a response."""
+    server.status = 421
+    with pytest.raises(ServerCallLostError):
+        await calls.release(server.heartbeat(), ASSIGNMENT, 20, True)
+    with pytest.raises(AnotherServerError):
+        await calls.release(server.heartbeat(), ASSIGNMENT, 20, False)
+    with pytest.raises(AnotherServerError):
+        await calls.grant(server.heartbeat(), ASSIGNMENT, 4.0, "", 20, False, is_in_force)
