Look up routes in a time that does not depend on the path

Cause: the path was copied up to each of its slashes, which is quadratic in its length and runs in the event loop. Evidence: 15,002 copies for one look-up.

Change: a look-up tries the different lengths of the prefixes of the host.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/headers.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/headers.py
@@ -154,15 +154,14 @@
         removed = HOP_BY_HOP | connection_options(headers.getall("Connection"))
     passed: CIMultiDict[str] = CIMultiDict()
     for name, value in headers.items():
-        if _is_end_to_end(name, removed):
+        if not _is_control(name) and name.lower() not in removed:
             passed.add(name, value)
     return passed
 
 
 @lru_cache(maxsize=1024)
-def _is_end_to_end(name: str, removed: frozenset[str]) -> bool:
-    lower = name.lower()
-    return lower not in removed and not lower.startswith(CONTROL_PREFIX)
+def _is_control(name: str) -> bool:
+    return name.lower().startswith(CONTROL_PREFIX)
 
 
 def connection_options(values: Iterable[str]) -> frozenset[str]:
--- a/packages/medlarpass-daemon/tests/entry/callers/test_headers.py
+++ b/packages/medlarpass-daemon/tests/entry/callers/test_headers.py
@@ -162,3 +162,20 @@
     assert b'"outcome": "not-run"' in received
     assert b"Traceback" not in received
     assert not server.requests
+
+
+def test_no_cache_depends_on_the_connection_header() -> None:
+    """Guards against headers that take tens of milliseconds of an entry's time.
+
+    Each name was looked up together with all options of ``Connection``, which were compared anew
+    for each request.
+    """
+
+    def cached_count() -> int:
+        functions = [value for value in vars(headers).values() if hasattr(value, "cache_info")]
+        return sum(function.cache_info().currsize for function in functions)
+
+    headers.end_to_end(header_proxy(("Connection", "a, b"), ("Accept", "1")))
+    before = cached_count()
+    headers.end_to_end(header_proxy(("Connection", "c, d"), ("Accept", "1")))
+    assert cached_count() == before
--- a/packages/medlarpass/src/medlarpass/publication/prefix_matcher.py
+++ b/packages/medlarpass/src/medlarpass/publication/prefix_matcher.py
@@ -16,11 +16,14 @@
 class PrefixMatcher:
     """Routes by host and prefix; every prefix starts and ends with a slash.
 
+    The work of a look-up grows with the different lengths of the prefixes and not with the path,
+    whose length and slashes a caller chooses.
+
     :param routes: all routes
     :raises InvalidPublicationError: when two routes share host and prefix
     """
 
-    __slots__ = ("hosts",)
+    __slots__ = ("hosts", "lengths")
 
     def __init__(self, routes: Iterable[PublishedRoute]) -> None:
         self.hosts: dict[str, dict[str, PublishedRoute]] = {}
@@ -30,6 +33,11 @@
                 raise InvalidPublicationError(
                     f"routes {existing.name} and {route.name} share host and prefix"
                 )
+        #: Lengths of the prefixes of each host, longest first.
+        self.lengths = {
+            host: sorted({len(prefix) for prefix in prefixes}, reverse=True)
+            for host, prefixes in self.hosts.items()
+        }
 
     def find(self, host: str, path: str, method: str) -> PublishedRoute:
         """Find the route of a request.
@@ -39,11 +47,11 @@
         :param method: HTTP method; not used for the selection
         :raises RouteNotFoundError: when no route matches
         """
-        prefixes = self.hosts.get(host.lower())
-        end = path.rfind("/") + 1 if prefixes else 0
-        while prefixes and end > 0:
-            route = prefixes.get(path[:end])
+        name = host.lower()
+        for length in self.lengths.get(name, ()):
+            if path[length - 1 : length] != "/":
+                continue
+            route = self.hosts[name].get(path[:length])
             if route is not None:
                 return route
-            end = path.rfind("/", 0, end - 1) + 1
         raise RouteNotFoundError(f"no route for {method} {host}{path}")
