Notice connections between processes that have gone silent

Cause: the ping of gRPC's keepalive has a timeout of its own, a minute by default, in which the channel keeps using the silent connection.

Change: grpc.http2.ping_timeout_ms is the timeout of the keepalive, on channels and on the server side.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/rpc_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/rpc_server.py
@@ -21,6 +21,7 @@
     ("grpc.http2.max_ping_strikes", 0),
     ("grpc.keepalive_time_ms", 5_000),
     ("grpc.keepalive_timeout_ms", 2_000),
+    ("grpc.http2.ping_timeout_ms", 2_000),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
 ]
