Take no response whose head has a control character

Cause: the parser for responses accepts control characters in headers, the writer for callers refuses them, and every error after the handler of a request was answered as if the request were not valid HTTP.

Change: such a response is no answer: an order gets 502 with an unknown outcome, an idempotent request is sent again. An internal error is answered as one.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_protocol.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/callers_protocol.py
@@ -10,9 +10,11 @@
 from aiohttp import web
 
 from medlarpass import MedlarpassError
+from medlarpass_daemon.entry.callers.events import UNEXPECTED_ERROR
 from medlarpass_daemon.entry.callers.exceptions import CallerError
 from medlarpass_daemon.request_bounds import BoundedRequestProtocol
 from medlarpass_daemon.request_bounds import RequestBoundError
+from medlarpass_daemon.request_bounds.bounded_request_protocol import CALLER_FAULTS
 from medlarpass_daemon.request_bounds.exceptions import InvalidHttpError
 
 if TYPE_CHECKING:
@@ -24,6 +26,10 @@
     from medlarpass_daemon.request_bounds import PortBounds
 
 
+#: Status with which aiohttp reports an exception of the handler; those of requests are below.
+INTERNAL_ERROR_STATUS = 500
+
+
 class CallersProtocol(BoundedRequestProtocol):
     """Responds to requests that can't be parsed with the usual error response."""
 
@@ -46,11 +52,20 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Return the response to a request that is not valid HTTP or exceeds a bound."""
-        is_bound = isinstance(exc, RequestBoundError) and not isinstance(exc, InvalidHttpError)
-        error = exc if is_bound else CallerError("the request is not valid HTTP")
-        assert isinstance(error, MedlarpassError)
-        response = self.dialect.error_response(error, self.dialect.request_id_of(request.headers))
+        """Return the response to a request that is not valid HTTP, exceeds a bound, or failed here.
+
+        After an internal error nothing tells whether the request has run.
+        """
+        request_id = self.dialect.request_id_of(request.headers)
+        error: MedlarpassError
+        if isinstance(exc, RequestBoundError) and not isinstance(exc, InvalidHttpError):
+            error = exc
+        elif isinstance(exc, CALLER_FAULTS) or status < INTERNAL_ERROR_STATUS:
+            error = CallerError("the request is not valid HTTP")
+        else:
+            UNEXPECTED_ERROR.log(request_id=request_id, error=repr(exc))
+            error = MedlarpassError("the request failed because of an internal error of the entry")
+        response = self.dialect.error_response(error, request_id)
         response.force_close()
         return response
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/server_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 from typing import TYPE_CHECKING
 from urllib.parse import SplitResult
@@ -44,6 +45,8 @@
 #: 101, which answers a request for another protocol; the entry never sends one.
 FINAL_STATUSES = range(200, 600)
 SWITCHING_PROTOCOLS_STATUS = 101
+#: Bytes that no header value may have (RFC 9110, section 5.5).
+CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class ServerClient:
@@ -155,6 +158,10 @@
             if response.status == SWITCHING_PROTOCOLS_STATUS:
                 raise AnswerLostError("the server changed protocols without being asked")
             raise InvalidStatusError(f"the response has the status {response.status:03}")
+        if _has_control_characters(response):
+            response.close()
+            protocol.force_close()
+            raise AnswerLostError("the response has a control character in its head")
         dialect = exchange.dialect
         has_id = dialect.has_request_id(response.headers)
         if not has_id and dialect.servers_echo_ids and protocol.exchange_count > 1:
@@ -261,6 +268,16 @@
     return AnswerLostError(f"the connection broke before the response: {type(error).__name__}")
 
 
+def _has_control_characters(response: ClientResponse) -> bool:
+    """Return whether the head has characters that no header may have.
+
+    The parser accepts them, but they can't be written to the caller.
+    """
+    if CONTROL_CHARACTER.search((response.reason or "").encode("utf-8", "surrogateescape")):
+        return True
+    return any(CONTROL_CHARACTER.search(value) for _, value in response.raw_headers)
+
+
 def _is_framed(response: ClientResponse) -> bool:
     if response.method == "HEAD" or response.status in BODYLESS_STATUSES:
         return True
