Bound the memory of the bodies that an entry holds

Cause: each body is held until its order has been answered, and only its own size was bounded.

Change: bodies get their memory from one budget (entry.held_bodies), three quarters of which are for those above 64 KiB. A body waits without being read, for a third of the remaining time at most; what can't be served next is refused at once with 503 as not run.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_body.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/caller_body.py
@@ -17,6 +17,11 @@
 
     from aiohttp import web
 
+    from medlarpass_daemon.entry.callers.body_budget import BodyBudget
+
+#: Part of the remaining time for which a body waits for memory. The rest is for its transfer and
+#: for the server.
+MEMORY_WAIT_RATIO = 1 / 3
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -25,10 +30,12 @@
 
     :param web: the caller's request
     :param max_size: maximum size in bytes
+    :param budget: memory for the bodies of all requests
     :raises BodyTooLargeError: when Content-Length exceeds the limit
     """
 
     __slots__ = (
+        "budget",
         "buffered_parts",
         "data",
         "is_continue_handled",
@@ -36,11 +43,13 @@
         "length",
         "max_size",
         "received",
+        "reserved",
         "web",
     )
 
-    def __init__(self, web: web.BaseRequest, max_size: int) -> None:
+    def __init__(self, web: web.BaseRequest, max_size: int, budget: BodyBudget) -> None:
         self.web = web
+        self.budget = budget
         self.max_size = max_size
         self.length = web.content_length
         #: The complete body, once it was read.
@@ -49,6 +58,8 @@
         self.buffered_parts: list[bytes] = []
         #: Bytes read from the caller's connection.
         self.received = 0
+        #: Bytes reserved in the budget.
+        self.reserved = 0
         self.is_continue_handled = False
         #: Whether an attempt has started to stream the body.
         self.is_stream_started = False
@@ -70,6 +81,7 @@
 
         :param remaining: seconds until the deadline
         :param max_bytes: size above which the rest is streamed; None for no limit
+        :raises BodiesFullError: when the bodies of other requests use the memory
         :raises BodyTooLargeError: when the body exceeds its maximum size
         :raises BodyIncompleteError: when the caller's connection ended within the body
         :raises DeadlineExceededError: when the body did not arrive in time
@@ -78,9 +90,14 @@
             return
         if max_bytes is not None and self.length is not None and self.length > max_bytes:
             return
+        deadline = asyncio.get_running_loop().time() + remaining
+        if self.length is not None:
+            await self.budget.reserve(self.length, max(remaining, 0) * MEMORY_WAIT_RATIO)
+            self.reserved = self.length
         try:
-            async with asyncio.timeout(max(remaining, 0)):
+            async with asyncio.timeout_at(deadline):
                 while (part := await self._next_part()) is not None:
+                    self._reserve_received()
                     self.buffered_parts.append(part)
                     if max_bytes is not None and self.received > max_bytes:
                         return
@@ -89,6 +106,17 @@
         self.data = b"".join(self.buffered_parts)
         self.buffered_parts.clear()
 
+    def release(self) -> None:
+        """Return the memory of the body once nothing sends it any more."""
+        self.budget.release(self.reserved)
+        self.reserved = 0
+
+    def _reserve_received(self) -> None:
+        size = self.received - self.reserved
+        if size > 0:
+            self.budget.extend(size, self.received)
+            self.reserved += size
+
     def content_for_attempt(self) -> bytes | AsyncIterator[bytes] | None:
         """Return the body for one attempt: its bytes, its stream, or None if it is empty."""
         if self.is_streamed:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/download_flow.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/download_flow.py
@@ -32,4 +32,5 @@
         )
         return await relay(context, request, attempt_result)
     finally:
+        request.body.release()
         context.admission.release(state)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/enquiry_flow.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/enquiry_flow.py
@@ -28,4 +28,5 @@
         )
         return await relay(context, request, attempt_result)
     finally:
+        request.body.release()
         context.admission.release(state)
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/exceptions.py
@@ -82,6 +82,13 @@
     code = "route_moved"
 
 
+class BodiesFullError(CallerError):
+    """The bodies of other requests use the memory of this entry."""
+
+    code = "bodies_full"
+    http_status = 503
+
+
 class ServersBusyError(CallerError):
     """No server that can run the request had capacity within the maximum wait."""
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/metrics.py
@@ -26,6 +26,7 @@
 
     __slots__ = (
         "domain_attempts",
+        "held_body_bytes",
         "in_flight",
         "invalid_loads",
         "labelled",
@@ -67,6 +68,11 @@
         self.in_flight = Gauge(
             "medlarpass_requests_in_flight", "Requests that have not ended", registry=registry
         )
+        self.held_body_bytes = Gauge(
+            "medlarpass_held_body_bytes",
+            "Memory reserved for the bodies of requests in progress",
+            registry=registry,
+        )
         self.queued = Gauge(
             "medlarpass_requests_queued", "Requests that wait for their turn", registry=registry
         )
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/order_flow.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/order_flow.py
@@ -75,6 +75,7 @@
             return await relay(context, request, attempt_result)
         return await _run_claimed(request, context, state, key)
     finally:
+        request.body.release()
         context.admission.release(state)
 
 
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_context.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from medlarpass_daemon.entry.callers.admission import Admission
+from medlarpass_daemon.entry.callers.body_budget import BodyBudget
 from medlarpass_daemon.entry.callers.claim_recorder import ClaimRecorder
 from medlarpass_daemon.entry.callers.load_recorder import LoadRecorder
 from medlarpass_daemon.entry.callers.owner_watch import OwnerWatch
@@ -56,6 +57,7 @@
 
     __slots__ = (
         "admission",
+        "body_budget",
         "claim_recorder",
         "claims",
         "client",
@@ -104,6 +106,8 @@
         self.dialect = dialect
         self.domain = domain
         self.admission = Admission(settings.concurrency, clock, retry_budget_settings)
+        self.body_budget = BodyBudget(settings.held_bodies)
+        metrics.held_body_bytes.set_function(lambda: self.body_budget.held_bytes)
         self.notices = ServerNotices(clock, settings.longest_pause)
         self.server_selector = ServerSelector(
             peer_loads, clock, settings.place_wait, self.notices, settings.owner_wait
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_reader.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/request_reader.py
@@ -52,7 +52,7 @@
             else None
         ),
         context.clock.now() + timeout,
-        CallerBody(web, _body_limit(web, route, context)),
+        CallerBody(web, _body_limit(web, route, context), context.body_budget),
         context.clock,
         revision,
     )
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/entry/callers/retry_after.py
@@ -7,6 +7,7 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
+from medlarpass_daemon.entry.callers.exceptions import BodiesFullError
 from medlarpass_daemon.entry.callers.exceptions import NoOwnerError
 from medlarpass_daemon.entry.callers.exceptions import OwnerBusyError
 from medlarpass_daemon.entry.callers.exceptions import PoolOverloadedError
@@ -47,6 +48,7 @@
     return error.retry_after
 
 
+@retry_after_seconds.register(BodiesFullError)
 @retry_after_seconds.register(ServersBusyError)
 @retry_after_seconds.register(ServerRefusedError)
 def _(error: MedlarpassError, target: float) -> float:
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/entry.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/entry.py
@@ -11,6 +11,8 @@
 #: A connection normally opens in about 1 ms. The timeout leaves time to try another server when one
 #: drops packets.
 DEFAULT_CONNECT_TIMEOUT_SECONDS = 1.0
+#: Part of ``held_bodies`` that large bodies may use; one order of the greatest size must fit.
+LARGE_BODY_RATIO = 0.75
 
 
 class EntrySettings(Value):
@@ -28,6 +30,7 @@
         "control",
         "coordinator_term",
         "heartbeat_wait",
+        "held_bodies",
         "longest_pause",
         "order_body",
         "owner_wait",
@@ -53,6 +56,8 @@
         self.buffer: int = document["buffer"]
         #: Maximum body size of an order; the body is buffered in memory.
         self.order_body: int = document["order_body"]
+        #: Most bytes of buffered bodies, of all requests together.
+        self.held_bodies: int = document["held_bodies"]
         #: Maximum size of an upload that is buffered for retries. A larger one is streamed and sent
         #: to one server only.
         self.upload_held: int = document["upload_held"]
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/limits_check.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/limits_check.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 from typing import TYPE_CHECKING
 
+from medlarpass_daemon.settings.entry import LARGE_BODY_RATIO
 from medlarpass_daemon.settings.exceptions import SettingsError
 from medlarpass_daemon.settings.limits import CALLERS
 from medlarpass_daemon.settings.limits import CONNECTION_BYTES
@@ -26,10 +29,19 @@
 
 
 def check_limits(path: Path, settings: DaemonSettings) -> None:
-    """Check the limits of connections.
+    """Check the limits of connections and of bodies.
 
-    :raises SettingsError: when they need more descriptors or memory than there is
+    :raises SettingsError: when they need more descriptors or memory than there is, or an order
+        does not fit
     """
+    entry = settings.entry
+    if entry is not None and entry.order_body > entry.held_bodies * LARGE_BODY_RATIO:
+        raise SettingsError(
+            str(path),
+            "entry.held_bodies",
+            f"expected at least {math.ceil(entry.order_body / LARGE_BODY_RATIO)}B, so that an"
+            " order of entry.order_body fits",
+        )
     count = sum(
         settings.limits.max_connections(port, settings.descriptors) for port in _ports(settings)
     )
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/settings/schema.py
@@ -145,6 +145,7 @@
     vol.Optional("connections_per_server", default=16): count(1, 10_000),
     vol.Optional("buffer", default="64KiB"): size("4KiB", "4MiB"),
     vol.Optional("order_body", default="1MiB"): size("1KiB", "16MiB"),
+    vol.Optional("held_bodies", default="48MiB"): size("1MiB", "16GiB"),
     vol.Optional("upload_held", default="512KiB"): size("0B", "16MiB"),
     vol.Optional("coordinator_term", default="400ms"): duration("100ms", "10s"),
     vol.Optional("session_term", default="600ms"): duration("200ms", "60s"),
--- a/packages/medlarpass-daemon/tests/settings/test_limits.py
+++ b/packages/medlarpass-daemon/tests/settings/test_limits.py
@@ -87,3 +87,17 @@
 )
 def test_limits_within_the_resources_are_accepted(tmp_path: Path, options: dict[str, Any]) -> None:
     load(tmp_path, **options)
+
+
+def test_the_memory_for_bodies_holds_an_order_of_the_greatest_size(tmp_path: Path) -> None:
+    """Guards against orders that are accepted by their size and never get memory."""
+    entry = {
+        "callers": "127.0.0.1:7002",
+        "servers": "127.0.0.1:7003",
+        "peers": [{"name": "entry-1", "domain": "north", "address": "127.0.0.1:7000"}],
+        "control": ["127.0.0.1:7100"],
+        "order_body": "16MiB",
+    }
+    with pytest.raises(SettingsError, match=r"entry\.held_bodies"):
+        load(tmp_path, entry={**entry, "held_bodies": "20MiB"})
+    load(tmp_path, entry={**entry, "held_bodies": "22MiB"})
