--- a/packages/medlarpass-daemon/src/medlarpass_daemon/application.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 
 from typing import TYPE_CHECKING
@@ -178,8 +179,9 @@
         await asyncio.wait([stop_task, second_signal], return_when=asyncio.FIRST_COMPLETED)
         if not stop_task.done():
             STOP_ABANDONED.log(signal=signal.Signals(second_signal.result()).name)
-            stop_task.cancel()
-            return EXIT_FAILURE
+            self.log_writer.close()
+            # Threads of gRPC still run, and the shutdown of the interpreter under them may crash.
+            os._exit(EXIT_FAILURE)
         second_signal.cancel()
         stop_task.result()
         PROCESS_STOPPED.log(name=self.settings.name)
