Tie the refusal of a server to the order that it refused

The test of a server's pause took a refusal of the entry for that of the server if an earlier order had arrived whose response was lost. Then the entry knew of no pause, and a 200 in the time of the pause was right. The check is stricter: the order that arrives must be the one that is refused.

--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -76,12 +76,18 @@
     """Guards against more than two requests in the time that a server asked for (BUDGET)."""
     orders = next(server for server in system.servers if server.pool == "orders")
     orders.pause = "2.5"
-    # The entry itself may refuse the first requests on a busy machine.
-    arrived_count = len(orders.arrivals)
-    await system.wait_until(
-        lambda: system.send_request("/orders/1", "POST"),
-        lambda result: result[0] == 503 and len(orders.arrivals) > arrived_count,
-    )
+
+    async def is_refused_by_server() -> bool:
+        """Send an order, and return whether the entry has read the refusal of the server.
+
+        On a busy machine the entry itself may refuse it, also after an earlier one has arrived
+        whose response was lost.
+        """
+        arrived_count = len(orders.arrivals)
+        status = (await system.send_request("/orders/1", "POST"))[0]
+        return status == 503 and len(orders.arrivals) > arrived_count
+
+    await system.wait_until(is_refused_by_server, bool)
     refused_at = orders.arrivals[-1]
     orders.pause = ""
     while time.monotonic() < refused_at + 2.2:
