Drop connections of blocked relays whose clients have given up

Cause: the relay of the test systems kept a connection that was opened while its link was blocked, and polled it a hundred times a second, also after its client had closed it.

Change: the relay reads new connections of a blocked link and drops those that end.

--- a/tools/bench/relay.py
+++ b/tools/bench/relay.py
@@ -107,11 +107,13 @@
     ) -> None:
         self.writers.add(writer)
         try:
-            await _wait_until_passable(link)
+            held = await _hold_until_passable(link, reader)
             target_reader, target_writer = await asyncio.open_connection(ip, port)
         except OSError:
+            self.writers.discard(writer)
             writer.close()
             return
+        target_writer.write(held)
         self.writers.add(target_writer)
         link.writers |= {writer, target_writer}
         forwarders = [
@@ -153,6 +155,25 @@
             await writer.drain()
 
 
+async def _hold_until_passable(link: Link, reader: asyncio.StreamReader) -> bytes:
+    """Return what a client sends on a new connection while its link is blocked.
+
+    :raises ConnectionError: when the client gives up. It tries again several times a second, and
+        connections that are kept for nobody would take all the time of the relays.
+    """
+    held = bytearray()
+    while link.is_blocked:
+        try:
+            async with asyncio.timeout(POLL_INTERVAL_SECONDS):
+                data = await reader.read(CHUNK_BYTES)
+        except TimeoutError:
+            continue
+        if not data:
+            raise ConnectionAbortedError("the client has closed the connection")
+        held += data
+    return bytes(held)
+
+
 async def _wait_until_passable(link: Link, is_return: bool = False) -> None:
     while True:
         if not (link.is_blocked or (is_return and link.is_return_blocked)):
