--- a/tests/platform_adapter/test_platform_server_calls.py
+++ b/tests/platform_adapter/test_platform_server_calls.py
@@ -43,6 +43,8 @@
         #: Statuses of the next responses, before the one above.
         self.statuses: list[int] = []
         self.is_unresponsive = False
+        #: Whether it is a server of a service with owners; all others are not the one meant.
+        self.serves_keys = True
         self.port = 0
 
     async def start(self) -> web.AppRunner:
@@ -62,6 +64,8 @@
         self.expected_instance = request.headers["Medlarpass-Expected-Instance"]
         if self.is_unresponsive:
             await asyncio.sleep(3600)
+        if not self.serves_keys:
+            return web.Response(status=421 if "Medlarpass-Attempt-Id" in request.headers else 400)
         status = self.statuses.pop(0) if self.statuses else self.status
         return web.Response(status=status, headers={"Medlarpass-Handover": "5c0e"})
 
@@ -395,3 +399,17 @@
         await calls.release(server.heartbeat(), ASSIGNMENT, 20, False)
     with pytest.raises(AnotherServerError):
         await calls.grant(server.heartbeat(), ASSIGNMENT, 4.0, "", 20, False, is_in_force)
+
+
+async def test_a_server_of_another_service_answers_that_it_is_not_the_one_meant(
+    server: FakeServer, calls: PlatformServerCalls
+) -> None:
+    """Guards against keys that wait for their lease although their server has ended.
+
+    A server without keys answers 400 to a call without an id, whichever server is meant.
+    """
+    server.serves_keys = False
+    with pytest.raises(AnotherServerError):
+        await calls.release(server.heartbeat(), ASSIGNMENT, 20, False)
+    with pytest.raises(AnotherServerError):
+        await calls.grant(server.heartbeat(), ASSIGNMENT, 4.0, "", 20, True, is_in_force)
