Give pings the time that a stream has for its next message

Cause: with a timeout of 1 s a connection over a saturated link was closed again and again, because the response to a ping waits there behind other data.

Change: 3 s, on channels and on the server side, as long as a stream has for its next message.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/rpc_channels.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/rpc_channels.py
@@ -14,16 +14,19 @@
 #: Fits a whole configuration or a snapshot chunk.
 MAX_MESSAGE_BYTES = 64 << 20
 
-#: Retries are disabled because the callers decide which calls may be repeated. The keepalive
-#: detects a broken connection within 2 s; the default takes 2 h. Its ping has a timeout of its own,
-#: by default a minute, in which a connection that has gone silent without a reset stays in use.
+#: Time after which a connection whose ping gets no response is closed. By default it is a minute,
+#: in which a connection that has gone silent without a reset stays in use. It is the time that a
+#: stream has for its next message, since on a saturated link the response waits behind other data.
+PING_TIMEOUT_MS = 3_000
+#: Retries are disabled because the callers decide which calls may be repeated. The keepalive sends
+#: a ping after a second without data; the default takes 2 h.
 CHANNEL_OPTIONS: list[tuple[str, int]] = [
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.keepalive_time_ms", 1_000),
     ("grpc.keepalive_timeout_ms", 1_000),
-    ("grpc.http2.ping_timeout_ms", 1_000),
+    ("grpc.http2.ping_timeout_ms", PING_TIMEOUT_MS),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.initial_reconnect_backoff_ms", 50),
--- a/packages/medlarpass-daemon/src/medlarpass_daemon/rpc_server.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/rpc_server.py
@@ -8,6 +8,7 @@
 
 from medlarpass_daemon.exceptions import ListenError
 from medlarpass_daemon.rpc_channels import MAX_MESSAGE_BYTES
+from medlarpass_daemon.rpc_channels import PING_TIMEOUT_MS
 
 if TYPE_CHECKING:
     from medlarpass_daemon.settings import DaemonSettings
@@ -21,7 +22,7 @@
     ("grpc.http2.max_ping_strikes", 0),
     ("grpc.keepalive_time_ms", 5_000),
     ("grpc.keepalive_timeout_ms", 2_000),
-    ("grpc.http2.ping_timeout_ms", 2_000),
+    ("grpc.http2.ping_timeout_ms", PING_TIMEOUT_MS),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
 ]
