Keep refuted claims refuted when the server has no keys

Cause: a claim was only looked at while the other server might own keys. Once its keys had moved elsewhere, the next heartbeat of a refuted claimant took its address, and the live server counted as replaced.

Change: a refuted claim is ignored as long as the other server is known.

Test: test_a_refuted_claim_takes_no_address_of_a_server_without_keys fails on the code before.

--- a/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
+++ b/packages/medlarpass-daemon/src/medlarpass_daemon/control/fleet/fleet_state.py
@@ -197,9 +197,14 @@
         self.changed = asyncio.Event()
 
     def is_contested(self, heartbeat: ServerHeartbeat) -> bool:
-        """Return whether a heartbeat names the address of another server that may own keys."""
+        """Return whether a heartbeat names the address of another server that may own keys.
+
+        A claim that was refuted stays so when the other server has no keys any more.
+        """
         claimed = self.directory.claimed_member(heartbeat)
-        return claimed is not None and self.may_own_keys(claimed.heartbeat.identity)
+        return claimed is not None and (
+            self.claims.is_refuted(heartbeat) or self.may_own_keys(claimed.heartbeat.identity)
+        )
 
     def servers_changed(self) -> None:
         """Mark the servers in the feed as outdated."""
--- a/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
+++ b/packages/medlarpass-daemon/tests/control/fleet/test_fleet_operations.py
@@ -160,6 +160,24 @@
     assert not simulation.fleet.claims.pending
 
 
+async def test_a_refuted_claim_takes_no_address_of_a_server_without_keys(
+    new_simulation: Any,
+) -> None:
+    """Guards against a live server that is replaced as soon as its keys have moved elsewhere."""
+    simulation = new_simulation(3)
+    operations = operations_of(simulation)
+    await simulation.run(2)
+    owner = simulation.servers["s0"]
+    claimant = heartbeat_of_a_claimant(owner.heartbeat())
+    await operations.handle_heartbeat(claimant)
+    await simulation.run(1)
+    simulation.fleet.may_own_keys = lambda _: False
+    claimant.sequence += 1
+    await operations.handle_heartbeat(claimant)
+    assert "other" not in simulation.fleet.directory.members
+    assert not simulation.fleet.directory.is_replaced(simulation.fleet.directory.members["s0"])
+
+
 async def test_the_keys_of_a_server_whose_address_is_used_again_are_free_at_once(
     new_simulation: Any,
 ) -> None:
--- a/packages/medlarpass/src/medlarpass/fleet/address_claims.py
+++ b/packages/medlarpass/src/medlarpass/fleet/address_claims.py
@@ -31,7 +31,7 @@
 
         :returns: whether the claim is new
         """
-        if _key(heartbeat) in self.refuted:
+        if self.is_refuted(heartbeat):
             return False
         known = self.pending.get(heartbeat.address)
         if known is not None and known.incarnation > heartbeat.incarnation:
@@ -39,6 +39,10 @@
         self.pending[heartbeat.address] = heartbeat
         return known is None or _key(known) != _key(heartbeat)
 
+    def is_refuted(self, heartbeat: ServerHeartbeat) -> bool:
+        """Return whether the claimed server has answered at the address since this one started."""
+        return _key(heartbeat) in self.refuted
+
     def refute(self, heartbeat: ServerHeartbeat) -> None:
         """Record that the claimed server has answered at its address."""
         self.drop(heartbeat)
